Lay out the workspace, the design and the model

Cause: nothing exists yet; the parts need one agreed set of records, codes and interfaces before they are built. Ruled out: one module for everything, because the decisions must run under a virtual clock without the shells. Before: empty repository. Conclusion: the parts can be built side by side against these interfaces.

--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/links/package-info.java
@@ -0,0 +1,2 @@
+/** Byte budgets of the links between regions. */
+package io.carawaylift.decisions.links;
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/once/OnceLedger.java
@@ -0,0 +1,6 @@
+package io.carawaylift.decisions.once;
+
+/** Placeholder for the ledger of once-only requests. */
+final class OnceLedger {
+    private OnceLedger() {}
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/once/package-info.java
@@ -0,0 +1,2 @@
+/** The ledger of once-only requests. */
+package io.carawaylift.decisions.once;
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/replica/package-info.java
@@ -0,0 +1,2 @@
+/** Versioned records, their digests and their line deltas. */
+package io.carawaylift.decisions.replica;
--- /dev/null
+++ b/lookup/src/main/java/io/carawaylift/lookup/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package io.carawaylift.lookup;
--- /dev/null
+++ b/model/src/main/java/io/carawaylift/model/CarawayliftException.java
@@ -0,0 +1,26 @@
+package io.carawaylift.model;
+
+import java.util.Objects;
+
+/** Failure with a result code; the usual cause of an exceptionally completed future in this project. */
+public class CarawayliftException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final ResultCode code;
+
+    /** Creates a failure; {@code detail} names the offending value. */
+    public CarawayliftException(ResultCode code, String detail) {
+        this(code, detail, null);
+    }
+
+    /** Creates a failure with an underlying cause, which may be null. */
+    public CarawayliftException(ResultCode code, String detail, Throwable cause) {
+        super(code.number() + " " + code.meaning() + " " + detail, cause);
+        this.code = Objects.requireNonNull(code, "code");
+    }
+
+    /** Returns the result code. */
+    public final ResultCode code() {
+        return code;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/io/carawaylift/model/InvalidTableException.java
@@ -0,0 +1,23 @@
+package io.carawaylift.model;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Thrown for a table that breaks rules; nothing of such a table is applied. */
+public final class InvalidTableException extends CarawayliftException {
+    private static final long serialVersionUID = 1L;
+
+    private final transient List<TableProblem> problems;
+
+    InvalidTableException(List<TableProblem> problems) {
+        super(
+                ResultCode.TABLE_INVALID,
+                problems.stream().map(TableProblem::toString).collect(Collectors.joining("; ")));
+        this.problems = List.copyOf(problems);
+    }
+
+    /** Returns every problem found, in the order of the table. */
+    public List<TableProblem> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/io/carawaylift/model/MemberReport.java
@@ -0,0 +1,18 @@
+package io.carawaylift.model;
+
+import java.util.List;
+
+/**
+ * One member's line in the record {@link RecordNames#domain}.
+ *
+ * @param heartbeat number of the newest heartbeat received from the member's entry process
+ * @param tableVersion table version in force at the member's entry process, 0 if none
+ * @param released ids of endpoints whose dispatch the member stopped and finished on request
+ */
+public record MemberReport(
+        Member member, long heartbeat, long tableVersion, List<String> released, List<UpstreamMeasure> measures) {
+    public MemberReport {
+        released = List.copyOf(released);
+        measures = List.copyOf(measures);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/io/carawaylift/model/Rank.java
@@ -0,0 +1,26 @@
+package io.carawaylift.model;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** Importance of a piece of work; the order of the constants is the order of service. */
+public enum Rank {
+    URGENT,
+    STANDARD,
+    DEFERRABLE;
+
+    /** Returns the name used in the table and in headers: lower case. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the rank with the given label, or empty if {@code label} is null or names none. */
+    public static Optional<Rank> ofLabel(String label) {
+        for (Rank rank : values()) {
+            if (rank.label().equals(label)) {
+                return Optional.of(rank);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/model/src/main/java/io/carawaylift/model/RowChange.java
@@ -0,0 +1,50 @@
+package io.carawaylift.model;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * Difference of one row between two tables.
+ *
+ * @param key kind and name of the row
+ * @param before text of the row in the older table, null if it was added
+ * @param after text of the row in the newer table, null if it was removed
+ */
+public record RowChange(String key, String before, String after) {
+    /** Returns the rows that differ, in table order; empty if both tables have the same rows and settings. */
+    public static List<RowChange> between(Table older, Table newer) {
+        Map<String, TableRow> left = older.rows();
+        Map<String, TableRow> right = newer.rows();
+        Set<String> keys = new LinkedHashSet<>(left.keySet());
+        keys.addAll(right.keySet());
+        List<RowChange> changes = new ArrayList<>();
+        for (String key : keys) {
+            add(changes, key, left.get(key), right.get(key));
+        }
+        add(changes, "shift", older.maxShiftPercentPerSecond(), newer.maxShiftPercentPerSecond());
+        add(changes, "lookup", older.lookupLifetimeMs(), newer.lookupLifetimeMs());
+        return changes;
+    }
+
+    private static void add(List<RowChange> changes, String key, Object before, Object after) {
+        if (!Objects.equals(before, after)) {
+            changes.add(new RowChange(key, text(before), text(after)));
+        }
+    }
+
+    private static String text(Object row) {
+        return row == null ? null : row.toString();
+    }
+
+    @Override
+    public String toString() {
+        if (before == null) {
+            return "added " + after;
+        }
+        return after == null ? "removed " + before : "changed " + before + " to " + after;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/io/carawaylift/model/Table.java
@@ -0,0 +1,181 @@
+package io.carawaylift.model;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The operators' table of weights and limits. Immutable; instances made by {@link #parse} or {@link Builder#build} keep
+ * all rules of {@link TableRules}.
+ *
+ * @param maxShiftPercentPerSecond how fast an upstream's share may rise, in percentage points per second
+ * @param lookupLifetimeMs how long callers keep a look-up answer, in milliseconds
+ */
+public record Table(
+        List<RegionRow> regions,
+        List<ServiceRow> services,
+        List<UpstreamRow> upstreams,
+        List<LinkRow> links,
+        List<RankRow> ranks,
+        int maxShiftPercentPerSecond,
+        long lookupLifetimeMs) {
+    public Table {
+        regions = List.copyOf(regions);
+        services = List.copyOf(services);
+        upstreams = List.copyOf(upstreams);
+        links = List.copyOf(links);
+        ranks = List.copyOf(ranks);
+    }
+
+    /**
+     * Reads a table from TOML.
+     *
+     * @throws InvalidTableException with every problem if the text is not TOML or breaks a rule
+     */
+    public static Table parse(String toml) {
+        return new TableParser().parse(toml);
+    }
+
+    /** Returns a builder of an empty table with default settings. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the service with this name. */
+    public Optional<ServiceRow> service(String name) {
+        return services.stream().filter(row -> row.name().equals(name)).findFirst();
+    }
+
+    /** Returns the upstream with this name. */
+    public Optional<UpstreamRow> upstream(String name) {
+        return upstreams.stream().filter(row -> row.name().equals(name)).findFirst();
+    }
+
+    /** Returns the region with this name. */
+    public Optional<RegionRow> region(String name) {
+        return regions.stream().filter(row -> row.name().equals(name)).findFirst();
+    }
+
+    /** Returns the link from one region to another, or empty if the table sets no cap. */
+    public Optional<LinkRow> link(String from, String to) {
+        return links.stream()
+                .filter(row -> row.from().equals(from) && row.to().equals(to))
+                .findFirst();
+    }
+
+    /** Returns the floor of a rank as a fraction from 0 to 1; 0 if the table has no row for it. */
+    public double floor(Rank rank) {
+        for (RankRow row : ranks) {
+            if (row.rank() == rank) {
+                return row.floorPercent() / 100.0;
+            }
+        }
+        return 0;
+    }
+
+    /** Returns the upstreams of a service in table order, drained ones included. */
+    public List<UpstreamRow> upstreamsOf(String service) {
+        return upstreams.stream().filter(row -> row.service().equals(service)).toList();
+    }
+
+    /**
+     * Returns the wanted share of each upstream of a service, by name: region weight times upstream weight, normalised.
+     * A region's weight is split over its upstreams that are not drained; drained upstreams have share 0.
+     */
+    public Map<String, Double> wantedShares(String service) {
+        return WantedShares.of(this, service);
+    }
+
+    /** Returns all rows by key in a fixed order. */
+    public Map<String, TableRow> rows() {
+        Map<String, TableRow> rows = new LinkedHashMap<>();
+        regions.forEach(row -> rows.put(row.key(), row));
+        services.forEach(row -> rows.put(row.key(), row));
+        upstreams.forEach(row -> rows.put(row.key(), row));
+        links.forEach(row -> rows.put(row.key(), row));
+        ranks.forEach(row -> rows.put(row.key(), row));
+        return rows;
+    }
+
+    /** Returns the table as TOML that {@link #parse} reads back to an equal table. */
+    public String toToml() {
+        return TableWriter.write(this);
+    }
+
+    /** Returns a builder that starts with the rows of this table. */
+    public Builder toBuilder() {
+        Builder builder = new Builder().maxShiftPercentPerSecond(maxShiftPercentPerSecond);
+        builder.lookupLifetimeMs(lookupLifetimeMs);
+        rows().values().forEach(builder::put);
+        return builder;
+    }
+
+    /** Collects rows; a later row replaces an earlier one with the same key. */
+    public static final class Builder {
+        private static final int DEFAULT_SHIFT_PERCENT_PER_SECOND = 10;
+        private static final long DEFAULT_LOOKUP_LIFETIME_MS = 5_000;
+
+        private final Map<String, TableRow> rows = new LinkedHashMap<>();
+        private int maxShiftPercentPerSecond = DEFAULT_SHIFT_PERCENT_PER_SECOND;
+        private long lookupLifetimeMs = DEFAULT_LOOKUP_LIFETIME_MS;
+
+        private Builder() {}
+
+        /** Adds or replaces a row. */
+        public Builder put(TableRow row) {
+            rows.put(row.key(), row);
+            return this;
+        }
+
+        /** Removes the row with this key, if present. */
+        public Builder remove(String key) {
+            rows.remove(key);
+            return this;
+        }
+
+        /** Sets how fast an upstream's share may rise, in percentage points per second. */
+        public Builder maxShiftPercentPerSecond(int percent) {
+            this.maxShiftPercentPerSecond = percent;
+            return this;
+        }
+
+        /** Sets how long callers keep a look-up answer, in milliseconds. */
+        public Builder lookupLifetimeMs(long lifetimeMs) {
+            this.lookupLifetimeMs = lifetimeMs;
+            return this;
+        }
+
+        /**
+         * Returns the table.
+         *
+         * @throws InvalidTableException if the rows break a rule
+         */
+        public Table build() {
+            Table table = new Table(
+                    only(RegionRow.class),
+                    only(ServiceRow.class),
+                    only(UpstreamRow.class),
+                    only(LinkRow.class),
+                    only(RankRow.class),
+                    maxShiftPercentPerSecond,
+                    lookupLifetimeMs);
+            List<TableProblem> problems = TableRules.check(table);
+            if (!problems.isEmpty()) {
+                throw new InvalidTableException(problems);
+            }
+            return table;
+        }
+
+        private <R extends TableRow> List<R> only(Class<R> type) {
+            List<R> found = new ArrayList<>();
+            for (TableRow row : rows.values()) {
+                if (type.isInstance(row)) {
+                    found.add(type.cast(row));
+                }
+            }
+            return found;
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/io/carawaylift/model/Ticket.java
@@ -0,0 +1,50 @@
+package io.carawaylift.model;
+
+import java.util.Objects;
+
+/**
+ * Permission to run one once-only request, issued by the entry process that alone may run it.
+ *
+ * @param process the issuing entry process
+ * @param window number of the issuer's current ticket window, see the once-only ledger
+ * @param nonce 128 random bits as 32 hexadecimal digits
+ */
+public record Ticket(EntryProcess process, long window, String nonce) {
+    private static final int PARTS = 4;
+
+    public Ticket {
+        Objects.requireNonNull(process, "process");
+        if (!nonce.matches("[0-9a-f]{32}")) {
+            throw new CarawayliftException(
+                    ResultCode.BAD_REQUEST, "ticket nonce '" + nonce + "' is not 32 hexadecimal digits");
+        }
+    }
+
+    /**
+     * Parses {@code host.incarnation.window.nonce}; a host id contains no dot.
+     *
+     * @throws CarawayliftException with {@link ResultCode#BAD_REQUEST} if the text has another form
+     */
+    public static Ticket parse(String text) {
+        String[] parts = text.split("\\.", -1);
+        if (parts.length != PARTS) {
+            throw malformed(text, null);
+        }
+        try {
+            EntryProcess process = new EntryProcess(parts[0], Long.parseLong(parts[1]));
+            return new Ticket(process, Long.parseLong(parts[2]), parts[3]);
+        } catch (NumberFormatException e) {
+            throw malformed(text, e);
+        }
+    }
+
+    private static CarawayliftException malformed(String text, Throwable cause) {
+        return new CarawayliftException(
+                ResultCode.BAD_REQUEST, "ticket '" + text + "' is not host.incarnation.window.nonce", cause);
+    }
+
+    @Override
+    public String toString() {
+        return process + "." + window + "." + nonce;
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/io/carawaylift/runtime/Program.java
@@ -0,0 +1,72 @@
+package io.carawaylift.runtime;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+
+/** Runs a program: reads its settings file, starts its service and stops it gracefully on SIGTERM. */
+public final class Program {
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_SETTINGS = 3;
+    private static final int EXIT_FAILED = 1;
+
+    private final String name;
+    private final Function<Settings, Service> factory;
+
+    /** Creates a program; {@code factory} checks the settings and must not start anything. */
+    public Program(String name, Function<Settings, Service> factory) {
+        this.name = name;
+        this.factory = factory;
+    }
+
+    /** Runs until the process is told to stop. Exits 2 for a wrong command line, 3 for wrong settings, 1 otherwise. */
+    @SuppressWarnings("SystemOut")
+    public void run(String[] args) {
+        if (args.length != 1) {
+            System.err.println("usage: " + name + " SETTINGS.toml");
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        Service service = create(Path.of(args[0]));
+        Logger log = System.getLogger(name);
+        try {
+            service.start();
+        } catch (RuntimeException e) {
+            log.log(Level.ERROR, "start failed", e);
+            System.exit(EXIT_FAILED);
+            return;
+        }
+        log.log(Level.INFO, "started");
+        stopOnSignal(service, log);
+    }
+
+    private Service create(Path path) {
+        try {
+            return factory.apply(Settings.read(path));
+        } catch (SettingsException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_SETTINGS);
+            throw e;
+        }
+    }
+
+    private static void stopOnSignal(Service service, Logger log) {
+        CountDownLatch stopped = new CountDownLatch(1);
+        Thread hook = new Thread(
+                () -> {
+                    log.log(Level.INFO, "stopping");
+                    service.stop();
+                    log.log(Level.INFO, "stopped");
+                    stopped.countDown();
+                },
+                "shutdown");
+        Runtime.getRuntime().addShutdownHook(hook);
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/io/carawaylift/runtime/Settings.java
@@ -0,0 +1,157 @@
+package io.carawaylift.runtime;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * Typed access to a TOML settings file. Keys are dotted paths such as {@code host.id}. Every accessor throws
+ * {@link SettingsException} if the value is missing or breaks its rule. Immutable.
+ */
+public final class Settings {
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+    private static final Pattern ADDRESS = Pattern.compile("[^:\\s]+:[0-9]{1,5}");
+    private static final int MAX_PORT = 65_535;
+
+    private final String file;
+    private final JsonNode root;
+
+    private Settings(String file, JsonNode root) {
+        this.file = file;
+        this.root = root;
+    }
+
+    /** Reads a settings file. */
+    public static Settings read(Path path) {
+        try {
+            return parse(path.toString(), Files.readString(path));
+        } catch (IOException e) {
+            throw new SettingsException(path.toString(), "(file)", String.valueOf(e.getMessage()), "must be readable");
+        }
+    }
+
+    /** Parses the text of a settings file; {@code file} is used in error messages. */
+    public static Settings parse(String file, String toml) {
+        try {
+            return new Settings(file, new TomlMapper().readTree(toml));
+        } catch (JsonProcessingException e) {
+            throw new SettingsException(file, "(syntax)", e.getOriginalMessage(), "must be TOML");
+        }
+    }
+
+    /** Returns a name: lower-case letters, digits and hyphens. */
+    public String name(String key) {
+        return matching(key, text(key), NAME);
+    }
+
+    /** Returns a name, or {@code absent} if the key is missing. */
+    public String name(String key, String absent) {
+        return has(key) ? name(key) : absent;
+    }
+
+    /** Returns a non-empty text. */
+    public String text(String key) {
+        JsonNode value = node(key);
+        if (!value.isTextual() || value.textValue().isEmpty()) {
+            throw broken(key, "must be a text that is not empty");
+        }
+        return value.textValue();
+    }
+
+    /** Returns a port number, 0 for any free port. */
+    public int port(String key) {
+        return (int) whole(key, 0, MAX_PORT);
+    }
+
+    /** Returns an HTTP base URL without a trailing slash. */
+    public String url(String key) {
+        String text = text(key);
+        URI uri = parsed(key, text);
+        if (!"http".equals(uri.getScheme()) || uri.getHost() == null || text.endsWith("/")) {
+            throw broken(key, "must be a URL such as http://127.0.0.1:8080, without a slash at the end");
+        }
+        return text;
+    }
+
+    /** Returns a list of {@code host:port} addresses; empty if the key is missing. */
+    public List<String> addresses(String key) {
+        List<String> addresses = new ArrayList<>();
+        for (JsonNode element : node(key)) {
+            addresses.add(matching(key, element.asText(), ADDRESS));
+        }
+        return addresses;
+    }
+
+    /** Returns a duration given in whole milliseconds. */
+    public Duration millis(String key, Duration absent, Duration least, Duration most) {
+        return has(key) ? Duration.ofMillis(whole(key, least.toMillis(), most.toMillis())) : absent;
+    }
+
+    /** Returns a whole number within bounds, or {@code absent} if the key is missing. */
+    public int number(String key, int absent, int least, int most) {
+        return has(key) ? (int) whole(key, least, most) : absent;
+    }
+
+    /** Returns whether the key is present. */
+    public boolean has(String key) {
+        return !node(key).isMissingNode();
+    }
+
+    /** Fails if a section has a key that is not in {@code known}; catches misspelt keys. */
+    public void rejectUnknown(String section, List<String> known) {
+        Optional<String> unknown = Optional.empty();
+        for (String key : (Iterable<String>) () -> node(section).fieldNames()) {
+            if (!known.contains(key)) {
+                unknown = Optional.of(key);
+            }
+        }
+        if (unknown.isPresent()) {
+            throw broken(section + "." + unknown.get(), "is not a key; allowed are " + String.join(", ", known));
+        }
+    }
+
+    private long whole(String key, long least, long most) {
+        JsonNode value = node(key);
+        if (!value.isIntegralNumber() || value.longValue() < least || value.longValue() > most) {
+            throw broken(key, "must be a whole number from " + least + " to " + most);
+        }
+        return value.longValue();
+    }
+
+    private String matching(String key, String value, Pattern pattern) {
+        if (!pattern.matcher(value).matches()) {
+            throw broken(key, "must match " + pattern);
+        }
+        return value;
+    }
+
+    private URI parsed(String key, String text) {
+        try {
+            return URI.create(text);
+        } catch (IllegalArgumentException e) {
+            throw broken(key, "must be a URL");
+        }
+    }
+
+    private JsonNode node(String key) {
+        JsonNode node = root;
+        for (String part : key.split("\\.", -1)) {
+            node = node.path(part);
+        }
+        return node;
+    }
+
+    private SettingsException broken(String key, String rule) {
+        JsonNode value = node(key);
+        return new SettingsException(file, key, value.isMissingNode() ? "(missing)" : value.toString(), rule);
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/io/carawaylift/runtime/SettingsException.java
@@ -0,0 +1,13 @@
+package io.carawaylift.runtime;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.ResultCode;
+
+/** Thrown for a settings file with an error; the message names file, key, value and rule. */
+public final class SettingsException extends CarawayliftException {
+    private static final long serialVersionUID = 1L;
+
+    SettingsException(String file, String key, String value, String rule) {
+        super(ResultCode.SETTINGS_INVALID, file + ": " + key + " = " + value + ": " + rule);
+    }
+}
