--- a/model/src/main/java/io/carawaylift/model/DomainRecord.java
+++ b/model/src/main/java/io/carawaylift/model/DomainRecord.java
@@ -8,7 +8,8 @@
  * @param reporter host that wrote the record
  * @param ended entry processes whose process id is gone on their own host, as its control program reported
  */
-public record DomainRecord(String failureDomain, String reporter, List<MemberReport> members, List<EntryProcess> ended) {
+public record DomainRecord(
+        String failureDomain, String reporter, List<MemberReport> members, List<EntryProcess> ended) {
     public DomainRecord {
         members = List.copyOf(members);
         ended = List.copyOf(ended);
