Add the ledger of once-only requests

Cause: a repeated once-only request must receive the outcome of the first run. Ruled out: storing every issued ticket, since a ticket is valid by its issuer and window alone and unused tickets would fill the ledger; evicting answered tickets when full, since a repeat would then run again. Before: placeholder. After: OnceLedger with joins, kept answers within a byte limit, expiry by window, and eviction of not-run tickets only.

--- a/decisions/src/main/java/io/carawaylift/decisions/once/OnceLedger.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/once/OnceLedger.java
@@ -1,6 +1,272 @@
 package io.carawaylift.decisions.once;
 
-/** Placeholder for the ledger of once-only requests. */
-final class OnceLedger {
-    private OnceLedger() {}
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.Outcome;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.model.Ticket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Ledger of the once-only requests of one entry process. It issues tickets and lets each ticket run at most once, unless
+ * the earlier run ended as not run. Times are monotonic nanoseconds. Not thread-safe.
+ *
+ * @param <W> what waits for a result, compared by {@code equals}
+ * @param <A> an answer
+ */
+public final class OnceLedger<W, A> {
+    /** Largest answer that is kept for repetition, in bytes. */
+    public static final long MAX_KEPT_ANSWER_BYTES = 64 * 1024;
+
+    /** Number of windows after which a ticket without an entry counts as expired. */
+    public static final long WINDOWS_KEPT = 10;
+
+    private static final long WINDOW_NANOS = 60_000_000_000L;
+
+    private final EntryProcess self;
+    private final int capacity;
+    private final long maxKeptBytes;
+    private final long startNanos;
+    private final Map<Ticket, LedgerEntry<W, A>> entries = new HashMap<>();
+    private final TreeMap<Long, Set<Ticket>> byWindow = new TreeMap<>();
+    private final Set<Ticket> notRun = new LinkedHashSet<>();
+    private final Deque<Ticket> kept = new ArrayDeque<>();
+    private long keptBytes;
+    private long window;
+
+    private OnceLedger(Builder<W, A> builder) {
+        self = Objects.requireNonNull(builder.self, "self");
+        capacity = builder.capacity;
+        maxKeptBytes = builder.maxKeptBytes;
+        startNanos = builder.startNanos;
+    }
+
+    /** Returns a builder of an empty ledger. */
+    public static <W, A> Builder<W, A> builder() {
+        return new Builder<>();
+    }
+
+    /** Returns one ticket of the current window per nonce; each nonce must be random and used once. */
+    public List<Ticket> issue(List<String> nonces, long nowNanos) {
+        advance(nowNanos);
+        return nonces.stream().map(nonce -> new Ticket(self, window, nonce)).toList();
+    }
+
+    /**
+     * Decides about an attempt. After {@link Attempt.Step#RUN} exactly one of {@link #notRun}, {@link #answered} and
+     * {@link #unknown} must follow; {@code waiter} is returned by that call, as are the waiters that joined.
+     *
+     * @throws IllegalArgumentException if another process issued the ticket
+     */
+    public Attempt<A> attempt(Ticket ticket, W waiter, long nowNanos) {
+        checkIssuer(ticket);
+        advance(nowNanos);
+        LedgerEntry<W, A> entry = entries.get(ticket);
+        if (entry == null) {
+            return firstAttempt(ticket, waiter);
+        }
+        if (entry.isPending()) {
+            entry.join(waiter);
+            return Attempt.joined();
+        }
+        if (!entry.isNotRun()) {
+            return entry.result();
+        }
+        notRun.remove(ticket);
+        entry.runAgain();
+        entry.join(waiter);
+        return Attempt.run();
+    }
+
+    /** Records that the run of a ticket ended as not run; returns who waits. A later attempt may run it. */
+    public List<W> notRun(Ticket ticket) {
+        List<W> waiters = pending(ticket).notRun();
+        notRun.add(ticket);
+        return waiters;
+    }
+
+    /** Records the answer and returns who waits; an answer of more than 64 KiB is not kept. */
+    public List<W> answered(Ticket ticket, A answer, long bytes) {
+        LedgerEntry<W, A> entry = pending(ticket);
+        if (bytes <= MAX_KEPT_ANSWER_BYTES && bytes <= maxKeptBytes) {
+            entry.keep(answer, bytes);
+            kept.add(ticket);
+            keptBytes += bytes;
+            dropOldestAnswers();
+        }
+        return entry.answered();
+    }
+
+    /** Records that the request ran and was answered, without the answer; returns who waits. */
+    public List<W> answeredWithoutKeeping(Ticket ticket) {
+        return pending(ticket).answered();
+    }
+
+    /** Records that the request may have run; returns who waits. The ticket never runs again. */
+    public List<W> unknown(Ticket ticket, ResultCode code) {
+        if (code.outcome() != Outcome.UNKNOWN) {
+            throw new IllegalArgumentException("code " + code + " does not say that the outcome is unknown");
+        }
+        return pending(ticket).unknown(code);
+    }
+
+    /** Removes a waiter of a pending ticket; returns whether the ticket is pending and nobody waits for it any more. */
+    public boolean leave(Ticket ticket, W waiter) {
+        LedgerEntry<W, A> entry = entries.get(ticket);
+        return entry != null && entry.isPending() && entry.leave(waiter);
+    }
+
+    /** Returns the number of tickets in the ledger. */
+    public int size() {
+        return entries.size();
+    }
+
+    /** Returns the number of the current window. */
+    public long window(long nowNanos) {
+        advance(nowNanos);
+        return window;
+    }
+
+    private Attempt<A> firstAttempt(Ticket ticket, W waiter) {
+        if (ticket.window() > window || ticket.window() < 0) {
+            return Attempt.finished(ResultCode.BAD_REQUEST);
+        }
+        if (isExpired(ticket.window())) {
+            return Attempt.finished(ResultCode.TICKET_EXPIRED);
+        }
+        if (entries.size() >= capacity && !evictNotRun()) {
+            return Attempt.finished(ResultCode.LEDGER_FULL);
+        }
+        LedgerEntry<W, A> entry = new LedgerEntry<>();
+        entry.join(waiter);
+        entries.put(ticket, entry);
+        byWindow.computeIfAbsent(ticket.window(), number -> new HashSet<>()).add(ticket);
+        return Attempt.run();
+    }
+
+    /** Makes room: a ticket that did not run is as good as one that was never used. */
+    private boolean evictNotRun() {
+        if (notRun.isEmpty()) {
+            return false;
+        }
+        Ticket oldest = notRun.iterator().next();
+        Set<Ticket> tickets = byWindow.get(oldest.window());
+        tickets.remove(oldest);
+        if (tickets.isEmpty()) {
+            byWindow.remove(oldest.window());
+        }
+        forget(oldest);
+        return true;
+    }
+
+    private void advance(long nowNanos) {
+        long current = (nowNanos - startNanos) / WINDOW_NANOS;
+        if (current > window) {
+            window = current;
+        }
+        while (!byWindow.isEmpty() && isExpired(byWindow.firstKey())) {
+            if (!expire(byWindow.firstKey())) {
+                return;
+            }
+        }
+    }
+
+    /** Drops the finished tickets of a window; returns whether none is left. Pending ones stay until they finish. */
+    private boolean expire(long number) {
+        Set<Ticket> tickets = byWindow.get(number);
+        for (Ticket ticket : List.copyOf(tickets)) {
+            if (!entries.get(ticket).isPending()) {
+                tickets.remove(ticket);
+                forget(ticket);
+            }
+        }
+        if (tickets.isEmpty()) {
+            byWindow.remove(number);
+            return true;
+        }
+        return false;
+    }
+
+    private void forget(Ticket ticket) {
+        LedgerEntry<W, A> entry = entries.remove(ticket);
+        keptBytes -= entry.dropAnswer();
+        notRun.remove(ticket);
+    }
+
+    private void dropOldestAnswers() {
+        while (keptBytes > maxKeptBytes || kept.size() > capacity) {
+            LedgerEntry<W, A> entry = entries.get(kept.remove());
+            if (entry != null) {
+                keptBytes -= entry.dropAnswer();
+            }
+        }
+    }
+
+    private boolean isExpired(long number) {
+        return window - number > WINDOWS_KEPT;
+    }
+
+    private LedgerEntry<W, A> pending(Ticket ticket) {
+        LedgerEntry<W, A> entry = entries.get(ticket);
+        if (entry == null || !entry.isPending()) {
+            throw new IllegalStateException("ticket " + ticket + " is not pending");
+        }
+        return entry;
+    }
+
+    private void checkIssuer(Ticket ticket) {
+        if (!ticket.process().equals(self)) {
+            throw new IllegalArgumentException("ticket " + ticket + " was not issued by " + self);
+        }
+    }
+
+    /** Sets the properties of a ledger. */
+    public static final class Builder<W, A> {
+        private static final int DEFAULT_CAPACITY = 100_000;
+        private static final long DEFAULT_MAX_KEPT_BYTES = 64L * 1024 * 1024;
+
+        private EntryProcess self;
+        private int capacity = DEFAULT_CAPACITY;
+        private long maxKeptBytes = DEFAULT_MAX_KEPT_BYTES;
+        private long startNanos;
+
+        private Builder() {}
+
+        /** Sets the process whose tickets the ledger holds; required. */
+        public Builder<W, A> self(EntryProcess process) {
+            this.self = process;
+            return this;
+        }
+
+        /** Sets how many tickets the ledger holds at most. */
+        public Builder<W, A> capacity(int tickets) {
+            this.capacity = tickets;
+            return this;
+        }
+
+        /** Sets how many bytes of answers are kept in all; the oldest answers are dropped first. */
+        public Builder<W, A> maxKeptBytes(long bytes) {
+            this.maxKeptBytes = bytes;
+            return this;
+        }
+
+        /** Sets the time at which window 0 starts. */
+        public Builder<W, A> startNanos(long nanos) {
+            this.startNanos = nanos;
+            return this;
+        }
+
+        /** Returns the ledger. */
+        public OnceLedger<W, A> build() {
+            return new OnceLedger<>(this);
+        }
+    }
 }
