--- a/model/src/main/java/io/carawaylift/model/Member.java
+++ b/model/src/main/java/io/carawaylift/model/Member.java
@@ -6,6 +6,7 @@
  * @param site group of hosts to which blocks of client addresses are mapped
  * @param entryUrl base URL of the entry program, for callers and other entry processes
  * @param lookupUrl base URL of the look-up program
+ * @param adminUrl base URL of the entry program's administration pages
  * @param controlAddress {@code host:port} at which the control program listens for other control programs
  */
 public record Member(
@@ -15,10 +16,12 @@
         String site,
         String entryUrl,
         String lookupUrl,
+        String adminUrl,
         String controlAddress,
         MemberState state) {
     /** Returns this member in another state. */
     public Member withState(MemberState newState) {
-        return new Member(process, region, failureDomain, site, entryUrl, lookupUrl, controlAddress, newState);
+        return new Member(
+                process, region, failureDomain, site, entryUrl, lookupUrl, adminUrl, controlAddress, newState);
     }
 }
--- a/model/src/test/java/io/carawaylift/model/RecordCodecTest.java
+++ b/model/src/test/java/io/carawaylift/model/RecordCodecTest.java
@@ -24,7 +24,7 @@
                 .put(new RegionRow("a", 1, 0))
                 .put(new RegionRow("b", 1, 0))
                 .build();
-        AcceptedTable accepted = new AcceptedTable(3, "c1", "ana", "why", "2026-01-01T00:00:00Z", table);
+        AcceptedTable accepted = new AcceptedTable(3, "c1", "ana", "why", "2026-01-01T00:00:00Z", List.of(), table);
 
         RecordBytes json = RecordCodec.encode(accepted);
 
