Add shards, steering and single-send calls of the entry program

Cause: the request path needs queues, slots and an HTTP client that never resends. Ruled out: OkHttp's dispatcher, whose own queue is invisible to admission; options alone, since a 503 with Retry-After 0 is resent whatever they say. Before: empty module. After: pieces without the server; not compiled together yet.

--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/AnswerClassifier.java
@@ -0,0 +1,62 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.entry.AttemptResult.Answered;
+import io.carawaylift.entry.AttemptResult.Refused;
+import io.carawaylift.entry.AttemptResult.Unknown;
+import io.carawaylift.model.Headers;
+import io.carawaylift.model.ResultCode;
+import java.util.Optional;
+
+/** Reads what an HTTP answer says about the outcome of the request. */
+final class AnswerClassifier {
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final long MS_PER_SECOND = 1_000;
+
+    private AnswerClassifier() {}
+
+    /** Classifies an answer of an endpoint. */
+    static AttemptResult ofEndpoint(AttemptResult result, String endpoint) {
+        if (!(result instanceof Answered answer)) {
+            return result;
+        }
+        if (answer.status() == SERVICE_UNAVAILABLE && answer.headers().saysNotRun()) {
+            return new Refused(ResultCode.UPSTREAM_REFUSED, "endpoint " + endpoint, retryAfterMs(answer));
+        }
+        return answer.as(ResultCode.ANSWERED, endpoint);
+    }
+
+    /** Classifies an answer of another entry process, which carries a result code. */
+    static AttemptResult ofEntry(AttemptResult result) {
+        if (!(result instanceof Answered answer)) {
+            return result;
+        }
+        Optional<ResultCode> code = answer.headers().first(Headers.CODE).flatMap(AnswerClassifier::code);
+        String detail = answer.headers().first(Headers.DETAIL).orElse("");
+        if (code.isEmpty()) {
+            return new Unknown(ResultCode.CONNECTION_LOST, "answer of an entry process without a result code");
+        }
+        return switch (code.get().outcome()) {
+            case ANSWERED -> answer.as(
+                    code.get(), answer.headers().first(Headers.ENDPOINT).orElse(""));
+            case NOT_RUN -> new Refused(code.get(), detail, retryAfterMs(answer));
+            case UNKNOWN -> new Unknown(code.get(), detail);
+            case NOT_A_REQUEST -> new Unknown(ResultCode.CONNECTION_LOST, detail);
+        };
+    }
+
+    private static Optional<ResultCode> code(String number) {
+        try {
+            return ResultCode.ofNumber(Integer.parseInt(number));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static long retryAfterMs(Answered answer) {
+        try {
+            return Math.max(1, Long.parseLong(answer.headers().first("Retry-After").orElse("1"))) * MS_PER_SECOND;
+        } catch (NumberFormatException e) {
+            return MS_PER_SECOND;
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/AttemptResult.java
@@ -0,0 +1,58 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.ResultCode;
+import java.util.Optional;
+import okio.ByteString;
+
+/** How one attempt at a request ended. */
+sealed interface AttemptResult {
+    /** Returns the result code. */
+    ResultCode code();
+
+    /** Returns what an operator should know beyond the code. */
+    String detail();
+
+    /**
+     * The upstream answered.
+     *
+     * @param declaredLength value of Content-Length, -1 if there is none
+     * @param head whole body, or its first part if {@code rest} is present
+     * @param rest what follows {@code head}; valid only while the receiver is called
+     * @param endpoint id of the endpoint, empty if unknown
+     */
+    record Answered(
+            ResultCode code,
+            int status,
+            HeaderList headers,
+            long declaredLength,
+            ByteString head,
+            Optional<BodySource> rest,
+            String endpoint)
+            implements AttemptResult {
+        @Override
+        public String detail() {
+            return "";
+        }
+
+        /** Returns this answer under another code or endpoint. */
+        Answered as(ResultCode newCode, String newEndpoint) {
+            return new Answered(newCode, status, headers, declaredLength, head, rest, newEndpoint);
+        }
+    }
+
+    /**
+     * No upstream ran the request.
+     *
+     * @param retryAfterMs when the caller should try again, in milliseconds
+     */
+    record Refused(ResultCode code, String detail, long retryAfterMs) implements AttemptResult {
+        private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
+
+        static Refused of(ResultCode code, String detail) {
+            return new Refused(code, detail, DEFAULT_RETRY_AFTER_MS);
+        }
+    }
+
+    /** The request may have run. */
+    record Unknown(ResultCode code, String detail) implements AttemptResult {}
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/CallProgress.java
@@ -0,0 +1,71 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.ResultCode;
+import java.util.Optional;
+
+/** How far a call has come. Written by the call's thread, flags also by the timer. */
+final class CallProgress {
+    private final OutboundRequest request;
+    private volatile boolean sent;
+    private volatile boolean timedOut;
+    private volatile boolean cancelled;
+    private volatile int status;
+    private volatile AttemptResult.Refused refusal;
+
+    CallProgress(OutboundRequest request) {
+        this.request = request;
+    }
+
+    OutboundRequest request() {
+        return request;
+    }
+
+    /** Asks the last check; returns whether the request may be sent. */
+    boolean maySend(long nowNanos) {
+        Optional<AttemptResult.Refused> refused = nowNanos >= request.deadlineNanos()
+                ? Optional.of(AttemptResult.Refused.of(ResultCode.EXPIRED_IN_QUEUE, "deadline passed before sending"))
+                : request.lastCheck().check(nowNanos);
+        refusal = refused.orElse(null);
+        sent = refused.isEmpty();
+        return sent;
+    }
+
+    void answered(int httpStatus) {
+        status = httpStatus;
+    }
+
+    int status() {
+        return status;
+    }
+
+    void timedOut() {
+        timedOut = true;
+    }
+
+    void cancelled() {
+        cancelled = true;
+    }
+
+    /** Returns the result of a call that ended with an exception. */
+    AttemptResult failure(Exception exception) {
+        if (refusal != null) {
+            return refusal;
+        }
+        String detail = request.url() + ": " + exception;
+        return sent ? new AttemptResult.Unknown(unknownCode(), detail) : AttemptResult.Refused.of(notSent(), detail);
+    }
+
+    private ResultCode notSent() {
+        if (cancelled) {
+            return ResultCode.CANCELLED_IN_QUEUE;
+        }
+        return timedOut ? ResultCode.EXPIRED_IN_QUEUE : ResultCode.CONNECT_FAILED;
+    }
+
+    private ResultCode unknownCode() {
+        if (timedOut) {
+            return ResultCode.TIMED_OUT;
+        }
+        return status == 0 ? ResultCode.CONNECTION_LOST : ResultCode.ANSWER_CUT;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
@@ -0,0 +1,156 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.admission.EndpointHealth;
+import io.carawaylift.entry.AttemptResult.Answered;
+import io.carawaylift.entry.AttemptResult.Refused;
+import io.carawaylift.entry.Topology.EndpointSlots;
+import io.carawaylift.model.Endpoint;
+import io.carawaylift.model.ResultCode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+/** The endpoints of one upstream that this process owns. Guarded by the lock of the shard that it belongs to. */
+final class EndpointPool implements SlotSource {
+    /** A once-only request adds a new connection while idle ones of repeatable requests are still open. */
+    private static final int CONNECTIONS_PER_SLOT = 2;
+
+    private final LeaseBook leases;
+    private final OutboundCalls calls;
+    private final LongSupplier clock;
+    private final Runnable onViolation;
+    private final EndpointHealth health = new EndpointHealth();
+    private final Map<String, Integer> inFlight = new ConcurrentHashMap<>();
+    private volatile Map<String, EndpointSlots> endpoints = Map.of();
+
+    EndpointPool(LeaseBook leases, OutboundCalls calls, LongSupplier clock, Runnable onViolation) {
+        this.leases = leases;
+        this.calls = calls;
+        this.clock = clock;
+        this.onViolation = onViolation;
+    }
+
+    /** Takes the endpoints that this process owns now. */
+    void endpoints(Iterable<EndpointSlots> owned) {
+        Map<String, EndpointSlots> byId = new LinkedHashMap<>();
+        owned.forEach(slots -> byId.put(slots.endpoint().id(), slots));
+        endpoints = byId;
+    }
+
+    /** Returns the slots that leases, table and connection limits permit now, whether used or not. */
+    int permitted(long nowNanos) {
+        int sum = 0;
+        for (EndpointSlots slots : endpoints.values()) {
+            sum += permitted(slots, nowNanos);
+        }
+        return sum;
+    }
+
+    /** Returns how many requests are in flight at an endpoint. */
+    int inFlight(String endpoint) {
+        return inFlight.getOrDefault(endpoint, 0);
+    }
+
+    @Override
+    public int free(long nowNanos) {
+        int sum = 0;
+        for (EndpointSlots slots : endpoints.values()) {
+            sum += free(slots, nowNanos);
+        }
+        return sum;
+    }
+
+    @Override
+    public void claim(QueuedJob job, long nowNanos) {
+        EndpointSlots chosen = null;
+        double mostFree = 0;
+        for (EndpointSlots slots : endpoints.values()) {
+            double free = free(slots, nowNanos) / (double) Math.max(1, slots.slots());
+            if (free > mostFree) {
+                mostFree = free;
+                chosen = slots;
+            }
+        }
+        if (chosen == null) {
+            throw new IllegalStateException("no endpoint has a free slot");
+        }
+        String id = chosen.endpoint().id();
+        inFlight.merge(id, 1, Integer::sum);
+        health.tried(id, nowNanos);
+        job.claimed(id, nowNanos);
+    }
+
+    @Override
+    public void release(QueuedJob job, AttemptResult result, boolean complete, long nowNanos) {
+        String id = job.target();
+        int left = inFlight.merge(id, -1, Integer::sum);
+        if (left < 0) {
+            onViolation.run();
+        }
+        if (left <= 0) {
+            inFlight.remove(id);
+        }
+        if (result instanceof Answered && complete) {
+            health.succeeded(id, nowNanos);
+        } else if (showsFailure(result, job)) {
+            health.failed(id, nowNanos);
+        }
+    }
+
+    @Override
+    public OutboundCall send(QueuedJob job, ResultReceiver receiver) {
+        InboundRequest request = job.request();
+        String id = job.target();
+        EndpointSlots slots = endpoints.get(id);
+        if (slots == null) {
+            receiver.accept(Refused.of(ResultCode.NOT_OWNER, "endpoint " + id + " was moved"));
+            return OutboundCall.ENDED;
+        }
+        Endpoint endpoint = slots.endpoint();
+        OutboundRequest outbound = new OutboundRequest(
+                endpoint.url() + request.target(),
+                request.method(),
+                request.outboundHeaders(),
+                request.body(),
+                request.deadlineNanos(),
+                0,
+                !request.repeatable() || request.attempt() > 1,
+                now -> lastCheck(id, now));
+        return calls.start(outbound, result -> receiver.accept(AnswerClassifier.ofEndpoint(result, id)));
+    }
+
+    /** The lease may have ended while the connection was being made or while the process was paused. */
+    private Optional<Refused> lastCheck(String id, long nowNanos) {
+        EndpointSlots slots = endpoints.get(id);
+        if (slots == null || permitted(slots, nowNanos) < inFlight(id)) {
+            return Optional.of(Refused.of(ResultCode.NOT_OWNER, "no slot of endpoint " + id + " is permitted now"));
+        }
+        return Optional.empty();
+    }
+
+    private int free(EndpointSlots slots, long nowNanos) {
+        String id = slots.endpoint().id();
+        int free = permitted(slots, nowNanos) - inFlight(id);
+        return free > 0 && health.mayTry(id, nowNanos) ? free : 0;
+    }
+
+    private int permitted(EndpointSlots slots, long nowNanos) {
+        int byConnections = Math.max(
+                Math.min(1, slots.endpoint().maxConnections()),
+                slots.endpoint().maxConnections() / CONNECTIONS_PER_SLOT);
+        int byLease = leases.permittedSlots(slots.endpoint().id(), slots.slots(), nowNanos);
+        return Math.min(byLease, byConnections);
+    }
+
+    private boolean showsFailure(AttemptResult result, QueuedJob job) {
+        if (job.isCancelled() && clock.getAsLong() < job.request().deadlineNanos()) {
+            return false;
+        }
+        return switch (result.code()) {
+            case UPSTREAM_REFUSED, CONNECT_FAILED, TIMED_OUT, CONNECTION_LOST, ANSWER_CUT, ANSWERED -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/EntrySettings.java
@@ -0,0 +1,51 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.runtime.HostSettings;
+import io.carawaylift.runtime.Settings;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Settings of the entry program.
+ *
+ * @param queueCapacity requests that may wait per upstream, and per owner and upstream
+ * @param maxCalls calls to owners and endpoints at a time; each holds a thread
+ * @param slow requests that take longer are logged
+ * @param stopLimit longest duration of a graceful stop
+ */
+record EntrySettings(
+        HostSettings host,
+        int port,
+        int adminPort,
+        int controlPort,
+        int lookupPort,
+        int queueCapacity,
+        int maxCalls,
+        Duration slow,
+        Duration stopLimit) {
+    private static final List<String> KEYS =
+            List.of("port", "admin_port", "queue_capacity", "max_calls", "slow_ms", "stop_limit_ms");
+    private static final int DEFAULT_QUEUE_CAPACITY = 512;
+    private static final int MAX_QUEUE_CAPACITY = 100_000;
+    private static final int DEFAULT_MAX_CALLS = 1024;
+    private static final int LIMIT_OF_MAX_CALLS = 8192;
+    private static final Duration DEFAULT_SLOW = Duration.ofSeconds(1);
+    private static final Duration DEFAULT_STOP_LIMIT = Duration.ofSeconds(120);
+    private static final Duration SHORTEST = Duration.ofMillis(1);
+    private static final Duration LONGEST = Duration.ofHours(1);
+
+    /** Reads and checks the settings. */
+    static EntrySettings of(Settings settings) {
+        settings.rejectUnknown("entry", KEYS);
+        return new EntrySettings(
+                HostSettings.of(settings),
+                settings.port("entry.port"),
+                settings.port("entry.admin_port"),
+                settings.port("control.port"),
+                settings.port("lookup.port"),
+                settings.number("entry.queue_capacity", DEFAULT_QUEUE_CAPACITY, 1, MAX_QUEUE_CAPACITY),
+                settings.number("entry.max_calls", DEFAULT_MAX_CALLS, 1, LIMIT_OF_MAX_CALLS),
+                settings.millis("entry.slow_ms", DEFAULT_SLOW, SHORTEST, LONGEST),
+                settings.millis("entry.stop_limit_ms", DEFAULT_STOP_LIMIT, SHORTEST, LONGEST));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/InboundRequest.java
@@ -0,0 +1,62 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.Headers;
+import io.carawaylift.model.Rank;
+import okio.ByteString;
+
+/**
+ * A request of a caller or of another entry process.
+ *
+ * @param target path and query that the upstream receives
+ * @param headers headers that are passed on
+ * @param deadlineNanos monotonic time after which the answer is useless
+ * @param repeatable whether it may be sent more than once
+ * @param ticket text of the ticket, empty if there is none
+ * @param hop number of entry processes that it passed before this one
+ * @param attempt number of the attempt that the sender makes, 1 for the first
+ */
+record InboundRequest(
+        String id,
+        String method,
+        String service,
+        String target,
+        HeaderList headers,
+        ByteString body,
+        Rank rank,
+        String customer,
+        long receivedNanos,
+        long deadlineNanos,
+        boolean repeatable,
+        String ticket,
+        int hop,
+        int attempt) {
+
+    /** Returns the headers for the next program, without the deadline, which is set when the request is sent. */
+    HeaderList outboundHeaders() {
+        HeaderList list = headers.with(Headers.REQUEST_ID, id).with(Headers.RANK, rank.label());
+        if (!customer.isEmpty()) {
+            list = list.with(Headers.CUSTOMER, customer);
+        }
+        return ticket.isEmpty() ? list : list.with(Headers.TICKET, ticket);
+    }
+
+    /** Returns this request for the rest of a body that broke off after {@code offset} bytes. */
+    InboundRequest resumedAt(long offset, String etag) {
+        HeaderList range = headers.with("Range", "bytes=" + offset + "-").with("If-Range", etag);
+        return new InboundRequest(
+                id,
+                method,
+                service,
+                target,
+                range,
+                body,
+                rank,
+                customer,
+                receivedNanos,
+                deadlineNanos,
+                repeatable,
+                ticket,
+                hop,
+                attempt);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/LeaseBook.java
@@ -0,0 +1,70 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.ownership.LeaseGuard;
+import io.carawaylift.decisions.ownership.LeaseTimes;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.OwnersRecord;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/** The lease guard under a lock of its own, which is taken after the lock of a shard and never before. Thread-safe. */
+final class LeaseBook {
+    private final Object lock = new Object();
+    private final LeaseGuard guard;
+    private final LongSupplier clock;
+
+    LeaseBook(EntryProcess self, LongSupplier clock) {
+        this.guard = new LeaseGuard(self, LeaseTimes.DEFAULT);
+        this.clock = clock;
+    }
+
+    /** Records that a heartbeat is being sent; call before sending, so that the lease is measured from no later time. */
+    void heartbeatSent(long number) {
+        synchronized (lock) {
+            guard.heartbeatSent(number, clock.getAsLong());
+        }
+    }
+
+    void platformConfirmed(long heartbeat, Map<String, Long> ownersVersions) {
+        synchronized (lock) {
+            guard.platformConfirmed(heartbeat, ownersVersions);
+        }
+    }
+
+    void successorAcknowledged(String host, long heartbeat) {
+        synchronized (lock) {
+            guard.successorAcknowledged(host, heartbeat);
+        }
+    }
+
+    void ownersChanged(String name, long version, OwnersRecord record, Topology topology) {
+        synchronized (lock) {
+            guard.ownersChanged(
+                    name,
+                    version,
+                    record,
+                    endpoint -> TimeUnit.MILLISECONDS.toNanos(topology.holdMs(endpoint)),
+                    clock.getAsLong());
+        }
+    }
+
+    int permittedSlots(String endpoint, int allotted, long nowNanos) {
+        synchronized (lock) {
+            return guard.permittedSlots(endpoint, allotted, nowNanos);
+        }
+    }
+
+    List<String> releaseRequested() {
+        synchronized (lock) {
+            return List.copyOf(guard.releaseRequested());
+        }
+    }
+
+    boolean isInDoubt() {
+        synchronized (lock) {
+            return guard.isInDoubt(clock.getAsLong());
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/LinkPacer.java
@@ -0,0 +1,117 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.links.LinkBudgets;
+import io.netty.util.HashedWheelTimer;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/** Paces what this process sends to other regions. Its lock is taken after any other and held only briefly. Thread-safe. */
+final class LinkPacer {
+    /** How long to wait before asking again while the link has no budget for this process. */
+    private static final long CLOSED_LINK_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Request or status line, and the lines that the HTTP libraries add. */
+    private static final int HEAD_BYTES = 400;
+
+    private final Object lock = new Object();
+    private final String region;
+    private final LinkBudgets budgets;
+    private final LongSupplier clock;
+    private final HashedWheelTimer timer;
+    private final EntryMetrics metrics;
+
+    LinkPacer(String region, LongSupplier clock, HashedWheelTimer timer, EntryMetrics metrics) {
+        this.region = region;
+        this.budgets = new LinkBudgets(region);
+        this.clock = clock;
+        this.timer = timer;
+        this.metrics = metrics;
+    }
+
+    /** Takes new shares, see {@link LinkBudgets#update}. */
+    void update(Topology topology, boolean inDoubt, boolean joining) {
+        int members = Math.max(1, topology.liveMembers(region));
+        synchronized (lock) {
+            budgets.update(topology.table(), members, inDoubt, joining, clock.getAsLong());
+        }
+    }
+
+    /** Returns whether a byte sent to the region now would leave before the deadline. */
+    boolean mayReach(String toRegion, long deadlineNanos) {
+        if (toRegion.equals(region)) {
+            return true;
+        }
+        long now = clock.getAsLong();
+        synchronized (lock) {
+            long backlog = budgets.backlogNanos(toRegion, now);
+            return backlog >= 0 && now + backlog < deadlineNanos;
+        }
+    }
+
+    /**
+     * Runs {@code send} when the bytes and a head of usual size fit into the budget.
+     *
+     * @return whether {@code send} has run or will run; false if that would be after the deadline
+     */
+    boolean schedule(String toRegion, int bytes, long deadlineNanos, Runnable send) {
+        if (toRegion.equals(region)) {
+            send.run();
+            return true;
+        }
+        if (!mayReach(toRegion, deadlineNanos)) {
+            return false;
+        }
+        long wait = reserve(toRegion, bytes + HEAD_BYTES);
+        if (wait < 0) {
+            return false;
+        }
+        if (wait == 0) {
+            send.run();
+        } else {
+            timer.newTimeout(timeout -> send.run(), wait, TimeUnit.NANOSECONDS);
+        }
+        return true;
+    }
+
+    /**
+     * Blocks until the bytes fit into the budget; used only by threads that carry a body.
+     *
+     * @return false if that would be after the deadline, or the thread was interrupted
+     */
+    boolean await(String toRegion, int bytes, long deadlineNanos) {
+        if (toRegion.equals(region)) {
+            return true;
+        }
+        while (mayReach(toRegion, deadlineNanos)) {
+            long wait = reserve(toRegion, bytes);
+            if (!sleep(wait < 0 ? CLOSED_LINK_WAIT_NANOS : wait)) {
+                return false;
+            }
+            if (wait >= 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private long reserve(String toRegion, int bytes) {
+        long wait;
+        synchronized (lock) {
+            wait = budgets.reserve(toRegion, bytes, clock.getAsLong());
+        }
+        if (wait >= 0) {
+            metrics.linkBytes(toRegion, bytes);
+        }
+        return wait;
+    }
+
+    private static boolean sleep(long nanos) {
+        try {
+            TimeUnit.NANOSECONDS.sleep(nanos);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/OwnerSlots.java
@@ -0,0 +1,90 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.entry.AttemptResult.Refused;
+import io.carawaylift.model.Headers;
+import io.carawaylift.model.ResultCode;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Bounded window of outstanding requests to another entry process. Guarded by the lock of the shard that it belongs to,
+ * apart from the window, which may change at any time.
+ */
+final class OwnerSlots implements SlotSource {
+    /** Time for the answer of the other process to arrive before our own deadline, within a region and between two. */
+    private static final long NEAR_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private static final long FAR_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+    private final PeerEntry peer;
+    private final String upstream;
+    private final OutboundCalls calls;
+    private final LinkPacer pacer;
+    private final String region;
+    private volatile int window;
+    private int outstanding;
+
+    /** Creates an empty window; {@code upstream} is empty for requests forwarded by their ticket. */
+    OwnerSlots(PeerEntry peer, String upstream, String region, OutboundCalls calls, LinkPacer pacer) {
+        this.peer = peer;
+        this.upstream = upstream;
+        this.region = region;
+        this.calls = calls;
+        this.pacer = pacer;
+    }
+
+    void window(int requests) {
+        window = requests;
+    }
+
+    @Override
+    public int free(long nowNanos) {
+        return Math.max(0, window - outstanding);
+    }
+
+    @Override
+    public void claim(QueuedJob job, long nowNanos) {
+        outstanding++;
+        job.claimed(peer.process().toString(), nowNanos);
+    }
+
+    @Override
+    public void release(QueuedJob job, AttemptResult result, boolean complete, long nowNanos) {
+        outstanding--;
+    }
+
+    @Override
+    public OutboundCall send(QueuedJob job, ResultReceiver receiver) {
+        InboundRequest request = job.request();
+        OutboundRequest outbound = outbound(request);
+        ResultReceiver classified = result -> receiver.accept(AnswerClassifier.ofEntry(result));
+        PacedCall call = new PacedCall(
+                () -> calls.start(outbound, classified),
+                () -> receiver.accept(Refused.of(ResultCode.CANCELLED_IN_QUEUE, "")));
+        int bytes = outbound.wireBytes() + outbound.url().length();
+        if (!pacer.schedule(peer.region(), bytes, request.deadlineNanos(), call::begin)) {
+            receiver.accept(Refused.of(ResultCode.NO_UPSTREAM, "link to region " + peer.region() + " has no room"));
+            return OutboundCall.ENDED;
+        }
+        return call;
+    }
+
+    private OutboundRequest outbound(InboundRequest request) {
+        HeaderList headers = request.outboundHeaders()
+                .with(Headers.HOP, Integer.toString(request.hop() + 1))
+                .with(Headers.FROM_REGION, region)
+                .with(Headers.ATTEMPT, Integer.toString(request.attempt()));
+        if (!upstream.isEmpty()) {
+            headers = headers.with(Headers.UPSTREAM, upstream);
+        }
+        return new OutboundRequest(
+                peer.url() + "/" + request.service() + request.target(),
+                request.method(),
+                headers,
+                request.body(),
+                request.deadlineNanos(),
+                peer.region().equals(region) ? NEAR_MARGIN_NANOS : FAR_MARGIN_NANOS,
+                !request.repeatable() || request.attempt() > 1,
+                now -> Optional.empty());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/QueueShard.java
@@ -0,0 +1,238 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.admission.AdmissionQueue;
+import io.carawaylift.decisions.admission.Offer;
+import io.carawaylift.decisions.admission.Refusal;
+import io.carawaylift.decisions.admission.Work;
+import io.carawaylift.entry.AttemptResult.Answered;
+import io.carawaylift.entry.AttemptResult.Refused;
+import io.carawaylift.model.Rank;
+import io.carawaylift.model.ResultCode;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+/**
+ * An admission queue in front of some slots, under its own lock. Requests are sent and results delivered after the lock
+ * is released. Thread-safe.
+ */
+final class QueueShard {
+    private final Object lock = new Object();
+    private final AdmissionQueue<QueuedJob> queue;
+    private final SlotSource slots;
+    private final LongSupplier clock;
+    private final Set<QueuedJob> waiting = new LinkedHashSet<>();
+    private long nextNumber;
+    private long dispatched;
+    private long refused;
+
+    QueueShard(int capacity, Map<Rank, Double> floors, SlotSource slots, LongSupplier clock) {
+        this.slots = slots;
+        this.clock = clock;
+        this.queue = AdmissionQueue.<QueuedJob>builder()
+                .capacity(capacity)
+                .limit(0)
+                .floors(floors)
+                .build();
+    }
+
+    /** Offers a request; the receiver gets its result, possibly before this returns. */
+    RunningAttempt submit(InboundRequest request, ResultReceiver receiver) {
+        List<Runnable> actions = new ArrayList<>();
+        QueuedJob job;
+        synchronized (lock) {
+            long now = clock.getAsLong();
+            job = new QueuedJob(nextNumber++, request, receiver, this, now);
+            updateLimit(now);
+            Offer<QueuedJob> offer = queue.offer(job.work(), now);
+            offer.displaced().ifPresent(work -> displace(work, actions));
+            if (offer.refusal().isPresent()) {
+                refuse(job, refusal(offer.refusal().get()), actions);
+            } else {
+                waiting.add(job);
+            }
+            pump(now, actions);
+        }
+        actions.forEach(Runnable::run);
+        return job;
+    }
+
+    /** Starts what may start now and refuses what has expired. */
+    void tick() {
+        List<Runnable> actions = new ArrayList<>();
+        synchronized (lock) {
+            long now = clock.getAsLong();
+            for (Work<QueuedJob> work : queue.expired(now)) {
+                waiting.remove(work.payload());
+                refuse(work.payload(), Refused.of(ResultCode.EXPIRED_IN_QUEUE, ""), actions);
+            }
+            pump(now, actions);
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    /** Refuses all waiting work, because this process cannot serve it any more. */
+    void refuseWaiting(ResultCode code, String detail) {
+        List<Runnable> actions = new ArrayList<>();
+        synchronized (lock) {
+            for (QueuedJob job : List.copyOf(waiting)) {
+                if (queue.cancel(job.work())) {
+                    waiting.remove(job);
+                    refuse(job, Refused.of(code, detail), actions);
+                }
+            }
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    /** Sets the floors of the ranks. */
+    void floors(Map<Rank, Double> floors) {
+        synchronized (lock) {
+            queue.floors(floors);
+        }
+    }
+
+    /** Runs {@code change} on the slots under the lock of this shard. */
+    void change(Runnable change) {
+        synchronized (lock) {
+            change.run();
+        }
+        tick();
+    }
+
+    void cancel(QueuedJob job) {
+        cancelWaiting(job);
+        OutboundCall call;
+        synchronized (lock) {
+            job.markCancelled();
+            call = job.call();
+        }
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    void cancelWaiting(QueuedJob job) {
+        boolean removed;
+        synchronized (lock) {
+            removed = waiting.contains(job) && queue.cancel(job.work());
+            if (removed) {
+                waiting.remove(job);
+            }
+        }
+        if (removed) {
+            job.refuse(Refused.of(ResultCode.CANCELLED_IN_QUEUE, ""));
+        }
+    }
+
+    /** Returns the state for operators and heartbeats; counters rise from the start of the process. */
+    Load load() {
+        synchronized (lock) {
+            Map<Rank, Integer> byRank = new EnumMap<>(Rank.class);
+            for (Rank rank : Rank.values()) {
+                byRank.put(rank, queue.waiting(rank));
+            }
+            int free = slots.free(clock.getAsLong());
+            return new Load(queue.inFlight(), free, byRank, dispatched, refused);
+        }
+    }
+
+    /**
+     * State of a shard.
+     *
+     * @param free slots that may be used beyond those in flight
+     * @param dispatched requests sent since the start
+     * @param refused requests refused since the start
+     */
+    record Load(int inFlight, int free, Map<Rank, Integer> waiting, long dispatched, long refused) {}
+
+    /** Sets the limit so that slots of one endpoint that are overused do not block free slots of another. */
+    private int updateLimit(long now) {
+        int free = slots.free(now);
+        queue.limit(queue.inFlight() + free);
+        return free;
+    }
+
+    private void pump(long now, List<Runnable> actions) {
+        while (updateLimit(now) > 0) {
+            Optional<Work<QueuedJob>> next = queue.next(now);
+            if (next.isEmpty()) {
+                return;
+            }
+            QueuedJob job = next.get().payload();
+            waiting.remove(job);
+            if (job.request().deadlineNanos() <= now) {
+                queue.finished(job.work(), now);
+                refuse(job, Refused.of(ResultCode.EXPIRED_IN_QUEUE, ""), actions);
+            } else {
+                slots.claim(job, now);
+                dispatched++;
+                actions.add(() -> send(job));
+            }
+        }
+    }
+
+    private void send(QueuedJob job) {
+        OutboundCall call = slots.send(job, result -> finish(job, result));
+        boolean cancelNow;
+        synchronized (lock) {
+            job.call(call);
+            cancelNow = job.isCancelled();
+        }
+        if (cancelNow) {
+            call.cancel();
+        }
+    }
+
+    /** Frees the slot first if the answer is complete, so that the next request does not wait for a slow caller. */
+    private void finish(QueuedJob job, AttemptResult result) {
+        if (result instanceof Answered answer && answer.rest().isPresent()) {
+            ObservedBody body = new ObservedBody(answer.rest().get());
+            try {
+                job.accept(new Answered(
+                        answer.code(),
+                        answer.status(),
+                        answer.headers(),
+                        answer.declaredLength(),
+                        answer.head(),
+                        Optional.of(body),
+                        answer.endpoint()));
+            } finally {
+                release(job, result, !body.hasFailed());
+            }
+            return;
+        }
+        release(job, result, true);
+        job.accept(result);
+    }
+
+    private void release(QueuedJob job, AttemptResult result, boolean complete) {
+        List<Runnable> actions = new ArrayList<>();
+        synchronized (lock) {
+            long now = clock.getAsLong();
+            slots.release(job, result, complete, now);
+            queue.finished(job.work(), now);
+            pump(now, actions);
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    private void displace(Work<QueuedJob> work, List<Runnable> actions) {
+        waiting.remove(work.payload());
+        refuse(work.payload(), Refused.of(ResultCode.DISPLACED, ""), actions);
+    }
+
+    private void refuse(QueuedJob job, Refused refusal, List<Runnable> actions) {
+        refused++;
+        actions.add(() -> job.refuse(refusal));
+    }
+
+    private static Refused refusal(Refusal refusal) {
+        return new Refused(refusal.code(), "", refusal.retryAfterMs());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/QueuedJob.java
@@ -0,0 +1,83 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.admission.Work;
+import io.carawaylift.entry.AttemptResult.Refused;
+
+/** A request in a queue shard, from being offered to its result. Fields are guarded by the shard's lock. */
+final class QueuedJob implements RunningAttempt {
+    private final InboundRequest request;
+    private final ResultReceiver receiver;
+    private final QueueShard shard;
+    private final long offeredNanos;
+    private final Work<QueuedJob> work;
+
+    private OutboundCall call;
+    private boolean cancelled;
+    private String target = "";
+    private long waitNanos;
+
+    QueuedJob(long number, InboundRequest request, ResultReceiver receiver, QueueShard shard, long nowNanos) {
+        this.request = request;
+        this.receiver = receiver;
+        this.shard = shard;
+        this.offeredNanos = nowNanos;
+        this.work = new Work<>(number, request.rank(), request.customer(), request.deadlineNanos(), this);
+    }
+
+    InboundRequest request() {
+        return request;
+    }
+
+    Work<QueuedJob> work() {
+        return work;
+    }
+
+    /** Delivers the result; called without a lock. */
+    void accept(AttemptResult result) {
+        receiver.accept(result);
+    }
+
+    void refuse(Refused refused) {
+        receiver.accept(refused);
+    }
+
+    @Override
+    public void cancel() {
+        shard.cancel(this);
+    }
+
+    @Override
+    public void cancelWaiting() {
+        shard.cancelWaiting(this);
+    }
+
+    /** Records that the job leaves the queue towards {@code endpointOrOwner}. */
+    void claimed(String endpointOrOwner, long nowNanos) {
+        target = endpointOrOwner;
+        waitNanos = nowNanos - offeredNanos;
+    }
+
+    String target() {
+        return target;
+    }
+
+    long waitNanos() {
+        return waitNanos;
+    }
+
+    void markCancelled() {
+        cancelled = true;
+    }
+
+    boolean isCancelled() {
+        return cancelled;
+    }
+
+    void call(OutboundCall started) {
+        call = started;
+    }
+
+    OutboundCall call() {
+        return call;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/Route.java
@@ -0,0 +1,6 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.EntryProcess;
+
+/** An upstream and the owner through which to reach it. */
+record Route(String upstream, EntryProcess owner) {}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/RunningAttempt.java
@@ -0,0 +1,10 @@
+package io.carawaylift.entry;
+
+/** An attempt that waits or runs. Thread-safe. */
+interface RunningAttempt {
+    /** Cancels the attempt wherever it is; its result may still arrive. */
+    void cancel();
+
+    /** Cancels the attempt only if nothing was sent; its result is then "not run". */
+    void cancelWaiting();
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/ServiceShard.java
@@ -0,0 +1,58 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.admission.RetryBudget;
+import io.carawaylift.decisions.steering.UpstreamSelector;
+import io.carawaylift.model.Table;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Steering state of one service under its own lock. Thread-safe. */
+final class ServiceShard {
+    /** Retries and hedges per first attempt, section 6 of the design. */
+    private static final double RETRY_FRACTION = 0.1;
+
+    private static final long LEAST_HEDGE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final int HEDGE_AFTER_MEANS = 4;
+    private static final double MEAN_WEIGHT = 0.05;
+
+    private final String service;
+    private final UpstreamSelector selector = new UpstreamSelector();
+    private final RetryBudget retries = new RetryBudget(RETRY_FRACTION);
+    private double meanNanos;
+
+    ServiceShard(String service) {
+        this.service = service;
+    }
+
+    synchronized void table(Table table, long nowNanos) {
+        selector.table(table, nowNanos);
+    }
+
+    synchronized Optional<String> choose(Set<String> usable, long nowNanos) {
+        return selector.choose(service, usable::contains, nowNanos);
+    }
+
+    synchronized Map<String, Double> shares(long nowNanos) {
+        return selector.shares(service, nowNanos);
+    }
+
+    synchronized void firstAttempt() {
+        retries.firstAttempt();
+    }
+
+    synchronized boolean tryRetry() {
+        return retries.tryRetry();
+    }
+
+    /** Learns how long an answer took. */
+    synchronized void answered(long nanos) {
+        meanNanos = meanNanos == 0 ? nanos : meanNanos + MEAN_WEIGHT * (nanos - meanNanos);
+    }
+
+    /** Returns after which time a repeatable request without an answer counts as silent. */
+    synchronized long hedgeDelayNanos() {
+        return Math.max(LEAST_HEDGE_DELAY_NANOS, (long) (HEDGE_AFTER_MEANS * meanNanos));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/Shards.java
@@ -0,0 +1,195 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.admission.AdmissionQueue;
+import io.carawaylift.entry.AttemptResult.Refused;
+import io.carawaylift.entry.Topology.EndpointSlots;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.Member;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.model.UpstreamRow;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+/**
+ * The queue shards of this process: an {@link AdmissionQueue} per upstream in front of the endpoints that it owns, and one
+ * per other owner and upstream in front of the window of requests to it. Thread-safe.
+ */
+final class Shards {
+    /**
+     * Requests outstanding at an owner per slot of it: as many as run, and as many again so that the owner's queue always
+     * has the next one while answers travel.
+     */
+    private static final int WINDOW_PER_SLOT = 2;
+
+    /** Requests forwarded by their ticket to one process at a time. */
+    private static final int TICKET_WINDOW = 64;
+
+    private final EntryProcess self;
+    private final String region;
+    private final int capacity;
+    private final LongSupplier clock;
+    private final LeaseBook leases;
+    private final OutboundCalls calls;
+    private final LinkPacer pacer;
+    private final Runnable onViolation;
+    private final Map<String, Local> local = new ConcurrentHashMap<>();
+    private final Map<Route, Remote> remote = new ConcurrentHashMap<>();
+    private volatile Topology topology;
+
+    private record Local(EndpointPool pool, QueueShard shard) {}
+
+    private record Remote(OwnerSlots slots, QueueShard shard) {}
+
+    Shards(
+            EntryProcess self,
+            EntrySettings settings,
+            LongSupplier clock,
+            LeaseBook leases,
+            OutboundCalls calls,
+            LinkPacer pacer,
+            Runnable onViolation) {
+        this.self = self;
+        this.region = settings.host().region();
+        this.capacity = settings.queueCapacity();
+        this.clock = clock;
+        this.leases = leases;
+        this.calls = calls;
+        this.pacer = pacer;
+        this.onViolation = onViolation;
+    }
+
+    /** Takes a new topology into all shards. */
+    void topology(Topology current) {
+        topology = current;
+        for (UpstreamRow row : current.table().upstreams()) {
+            List<EndpointSlots> owned = current.endpointsOwnedBy(self, row.name());
+            if (!owned.isEmpty()) {
+                local.computeIfAbsent(row.name(), this::createLocal);
+            }
+        }
+        local.forEach((upstream, shard) -> {
+            shard.pool.endpoints(current.endpointsOwnedBy(self, upstream));
+            shard.shard.floors(current.floors());
+        });
+        remote.forEach((route, shard) -> {
+            shard.slots.window(window(route));
+            shard.shard.floors(current.floors());
+        });
+        tick();
+    }
+
+    /** Starts what may start, refuses what expired, and refuses what can no longer be served here. */
+    void tick() {
+        local.values().forEach(shard -> {
+            shard.shard.tick();
+            if (shard.pool.permitted(clock.getAsLong()) == 0) {
+                shard.shard.refuseWaiting(ResultCode.NOT_OWNER, "no slot is permitted any more");
+            }
+        });
+        remote.forEach((route, shard) -> {
+            shard.shard.tick();
+            if (window(route) == 0) {
+                shard.shard.refuseWaiting(ResultCode.NO_UPSTREAM, "owner " + route.owner() + " has no slots any more");
+            }
+        });
+        remote.keySet().removeIf(route -> window(route) == 0 && isIdle(remote.get(route)));
+    }
+
+    /** Sends a request to an endpoint of an upstream that this process owns. */
+    RunningAttempt dispatch(String upstream, InboundRequest request, ResultReceiver receiver) {
+        Local shard = local.get(upstream);
+        if (shard == null || shard.pool.permitted(clock.getAsLong()) == 0) {
+            receiver.accept(Refused.of(ResultCode.NOT_OWNER, "upstream " + upstream + " at " + self));
+            return NoAttempt.INSTANCE;
+        }
+        return shard.shard.submit(request, receiver);
+    }
+
+    /** Sends a request on a route, to this process itself or to another owner. */
+    RunningAttempt send(Route route, InboundRequest request, ResultReceiver receiver) {
+        if (route.owner().equals(self)) {
+            return dispatch(route.upstream(), request, receiver);
+        }
+        return forward(route, request, receiver);
+    }
+
+    /** Forwards a request to the process that its ticket names. */
+    RunningAttempt forwardByTicket(EntryProcess process, InboundRequest request, ResultReceiver receiver) {
+        return forward(new Route("", process), request, receiver);
+    }
+
+    /** Returns how many requests this process has outstanding or waiting on a route. */
+    int outstanding(Route route) {
+        if (route.owner().equals(self)) {
+            Local shard = local.get(route.upstream());
+            return shard == null ? 0 : total(shard.shard.load());
+        }
+        Remote shard = remote.get(route);
+        return shard == null ? 0 : total(shard.shard.load());
+    }
+
+    /** Returns the load of the upstreams that this process owns endpoints of, by name. */
+    Map<String, UpstreamLoad> localLoads() {
+        Map<String, UpstreamLoad> loads = new TreeMap<>();
+        long now = clock.getAsLong();
+        local.forEach((upstream, shard) ->
+                loads.put(upstream, new UpstreamLoad(shard.shard.load(), shard.pool.permitted(now))));
+        return loads;
+    }
+
+    /** Load of one upstream at this process with the slots that it may use now. */
+    record UpstreamLoad(QueueShard.Load load, int usableSlots) {}
+
+    /** Returns the endpoints that are to be released and at which nothing is in flight. */
+    List<String> released() {
+        return leases.releaseRequested().stream()
+                .filter(endpoint ->
+                        local.values().stream().allMatch(shard -> shard.pool.inFlight(endpoint) == 0))
+                .toList();
+    }
+
+    private RunningAttempt forward(Route route, InboundRequest request, ResultReceiver receiver) {
+        Optional<Member> member = topology.member(route.owner());
+        if (member.isEmpty()) {
+            receiver.accept(Refused.of(ResultCode.NO_UPSTREAM, "owner " + route.owner() + " is not a member"));
+            return NoAttempt.INSTANCE;
+        }
+        return remote.computeIfAbsent(route, key -> createRemote(key, member.get()))
+                .shard
+                .submit(request, receiver);
+    }
+
+    private int window(Route route) {
+        if (topology.member(route.owner()).isEmpty()) {
+            return 0;
+        }
+        if (route.upstream().isEmpty()) {
+            return TICKET_WINDOW;
+        }
+        return WINDOW_PER_SLOT * topology.ownersOf(route.upstream()).getOrDefault(route.owner(), 0);
+    }
+
+    private Local createLocal(String upstream) {
+        EndpointPool pool = new EndpointPool(leases, calls, clock, onViolation);
+        return new Local(pool, new QueueShard(capacity, topology.floors(), pool, clock));
+    }
+
+    private Remote createRemote(Route route, Member member) {
+        OwnerSlots slots = new OwnerSlots(PeerEntry.of(member), route.upstream(), region, calls, pacer);
+        slots.window(window(route));
+        return new Remote(slots, new QueueShard(capacity, topology.floors(), slots, clock));
+    }
+
+    private static boolean isIdle(Remote shard) {
+        return shard != null && total(shard.shard.load()) == 0;
+    }
+
+    private static int total(QueueShard.Load load) {
+        return load.inFlight()
+                + load.waiting().values().stream().mapToInt(Integer::intValue).sum();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/Steering.java
@@ -0,0 +1,94 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.steering.OwnerSelector;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.UpstreamRow;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+
+/** Chooses upstream and owner for a request. Thread-safe. */
+final class Steering {
+    private final EntryProcess self;
+    private final Shards shards;
+    private final LinkPacer pacer;
+    private final LongSupplier clock;
+    private final OwnerSelector ownerSelector = new OwnerSelector();
+    private final Map<String, ServiceShard> services = new ConcurrentHashMap<>();
+    private final AtomicLong seeds;
+    private volatile Topology topology;
+
+    Steering(EntryProcess self, Shards shards, LinkPacer pacer, LongSupplier clock) {
+        this.self = self;
+        this.shards = shards;
+        this.pacer = pacer;
+        this.clock = clock;
+        this.seeds = new AtomicLong(new SplittableRandom(self.hashCode()).nextLong());
+    }
+
+    /** Takes a new topology; a table of the same version does not restart ramps. */
+    void topology(Topology current) {
+        boolean newTable = topology == null || topology.tableVersion() != current.tableVersion();
+        topology = current;
+        if (newTable) {
+            services.values().forEach(shard -> shard.table(current.table(), clock.getAsLong()));
+        }
+    }
+
+    Topology topology() {
+        return topology;
+    }
+
+    ServiceShard service(String name) {
+        return services.computeIfAbsent(name, key -> {
+            ServiceShard shard = new ServiceShard(key);
+            shard.table(topology.table(), clock.getAsLong());
+            return shard;
+        });
+    }
+
+    /** Returns a route that is not in {@code excluded}, or empty if no upstream may take the request now. */
+    Optional<Route> choose(InboundRequest request, Set<Route> excluded) {
+        Topology current = topology;
+        Map<String, List<OwnerSelector.Candidate>> candidates = new HashMap<>();
+        Set<String> usable = new HashSet<>();
+        for (UpstreamRow row : current.table().upstreamsOf(request.service())) {
+            List<OwnerSelector.Candidate> owners = owners(current, row, request, excluded);
+            if (!row.drain() && !owners.isEmpty()) {
+                usable.add(row.name());
+                candidates.put(row.name(), owners);
+            }
+        }
+        Optional<String> upstream = service(request.service()).choose(usable, clock.getAsLong());
+        return upstream.flatMap(name -> ownerSelector
+                .choose(candidates.get(name), seeds.incrementAndGet())
+                .map(owner -> new Route(name, owner)));
+    }
+
+    private List<OwnerSelector.Candidate> owners(
+            Topology current, UpstreamRow row, InboundRequest request, Set<Route> excluded) {
+        List<OwnerSelector.Candidate> found = new ArrayList<>();
+        if (!pacer.mayReach(row.region(), request.deadlineNanos())) {
+            return found;
+        }
+        current.ownersOf(row.name()).forEach((owner, slots) -> {
+            Route route = new Route(row.name(), owner);
+            if (slots > 0 && !excluded.contains(route) && isReachable(current, owner)) {
+                found.add(new OwnerSelector.Candidate(owner, slots, shards.outstanding(route)));
+            }
+        });
+        return found;
+    }
+
+    private boolean isReachable(Topology current, EntryProcess owner) {
+        return owner.equals(self) || current.member(owner).isPresent();
+    }
+}
--- a/model/src/main/java/io/carawaylift/model/Headers.java
+++ b/model/src/main/java/io/carawaylift/model/Headers.java
@@ -23,6 +23,15 @@
     /** Number of entry processes passed so far; set between entry processes. */
     public static final String HOP = "Carawaylift-Hop";
 
+    /** Region of the sending entry process; set between entry processes, which pace what they send to other regions. */
+    public static final String FROM_REGION = "Carawaylift-From-Region";
+
+    /** Number of the attempt at this request, 1 for the first; set between entry processes. */
+    public static final String ATTEMPT = "Carawaylift-Attempt";
+
+    /** Id of the endpoint that answered; set between entry processes. */
+    public static final String ENDPOINT = "Carawaylift-Endpoint";
+
     /** Result code number on every answer. */
     public static final String CODE = "Carawaylift-Code";
 
