Declare the API of replica, membership and ownership decisions

Cause: the control program is built in parallel against these classes. Ruled out: releases as bare endpoint ids. A release reported before a cancelled transfer could be taken for the release of a later transfer of the same endpoint while its owner dispatches again. MemberReport.released therefore carries Release(endpoint, epoch). Before: skeletons of LeaseGuard and ReplicaStore. After: signatures with doc comments for all classes, bodies follow.

--- a/decisions/src/main/java/io/carawaylift/decisions/ownership/LeaseGuard.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/LeaseGuard.java
@@ -2,8 +2,10 @@
 
 import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Release;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import java.util.function.ToLongFunction;
 
 /**
@@ -51,11 +53,24 @@
         throw new UnsupportedOperationException();
     }
 
-    /** Returns the ids of endpoints that this process owns and is asked to release. */
+    /**
+     * Returns the ids of endpoints that this process must release: it owns them and is asked to, or another process
+     * took them over and waits for the word that nothing of this one is in flight.
+     */
     public List<String> releaseRequested() {
         throw new UnsupportedOperationException();
     }
 
+    /**
+     * Returns the releases to report in the next heartbeat: endpoints of {@link #releaseRequested} without a request in
+     * flight. An endpoint whose wait after a takeover still lasts is left out, because its new owner would not wait.
+     *
+     * @param inFlight requests of this process in flight, by endpoint id
+     */
+    public List<Release> released(ToIntFunction<String> inFlight, long nowNanos) {
+        throw new UnsupportedOperationException();
+    }
+
     /** Returns whether no heartbeat of the last lease was confirmed by the platform or by any successor. */
     public boolean isInDoubt(long nowNanos) {
         throw new UnsupportedOperationException();
--- a/decisions/src/main/java/io/carawaylift/decisions/replica/ReplicaStore.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/replica/ReplicaStore.java
@@ -1,6 +1,7 @@
 package io.carawaylift.decisions.replica;
 
 import io.carawaylift.model.RecordBytes;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -32,4 +33,22 @@
     public Map<String, Long> versions() {
         throw new UnsupportedOperationException();
     }
+
+    /**
+     * Applies a delta to the known version; returns whether the store now holds {@code delta.toVersion()} or a newer
+     * version. If not, the whole record is to be pulled.
+     */
+    public boolean offer(String name, RecordDelta delta) {
+        throw new UnsupportedOperationException();
+    }
+
+    /** Returns the records of which a peer with these versions has an older version or none. */
+    public Map<String, Entry> lackingAt(Map<String, Long> peerVersions) {
+        throw new UnsupportedOperationException();
+    }
+
+    /** Returns the names of which a peer with these versions has a newer version than this store. */
+    public List<String> newerAt(Map<String, Long> peerVersions) {
+        throw new UnsupportedOperationException();
+    }
 }
--- a/model/src/main/java/io/carawaylift/model/MemberReport.java
+++ b/model/src/main/java/io/carawaylift/model/MemberReport.java
@@ -7,10 +7,10 @@
  *
  * @param heartbeat number of the newest heartbeat received from the member's entry process
  * @param tableVersion table version in force at the member's entry process, 0 if none
- * @param released ids of endpoints whose dispatch the member stopped and finished on request
+ * @param released endpoints whose dispatch the member stopped and finished, each with the epoch it stopped at
  */
 public record MemberReport(
-        Member member, long heartbeat, long tableVersion, List<String> released, List<UpstreamMeasure> measures) {
+        Member member, long heartbeat, long tableVersion, List<Release> released, List<UpstreamMeasure> measures) {
     public MemberReport {
         released = List.copyOf(released);
         measures = List.copyOf(measures);
