--- a/decisions/src/main/java/io/carawaylift/decisions/admission/AdmissionQueue.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/AdmissionQueue.java
@@ -1,87 +1,337 @@
 package io.carawaylift.decisions.admission;
 
+import io.carawaylift.decisions.Invariant;
 import io.carawaylift.model.Rank;
+import io.carawaylift.model.ResultCode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
- * Queue by rank and customer in front of a number of slots. Times are monotonic nanoseconds. Not thread-safe: the caller
- * holds its shard's lock.
+ * Queue by rank and customer in front of a number of slots. Higher ranks go first, except that a rank with waiting work
+ * that is behind its floor goes before them; within a rank the customer that used least slot time goes first. Every
+ * operation takes time logarithmic in the amount of waiting work. Times are monotonic nanoseconds; a time before the
+ * latest one seen counts as the latest one. Not thread-safe: the caller holds its shard's lock.
+ *
+ * <p>Each offered piece of work leaves exactly once: by the refusal in {@link Offer}, as displaced work in an {@link Offer},
+ * from {@link #next}, from {@link #expired} or by {@link #cancel}.
  */
 public final class AdmissionQueue<T> {
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final List<Rank> LOWEST_FIRST =
+            Stream.of(Rank.values()).sorted(Comparator.reverseOrder()).toList();
+
+    private final int capacity;
+    private final Map<Rank, RankState<T>> ranks = new EnumMap<>(Rank.class);
+    private final Map<Long, Waiting<T>> waiting = new HashMap<>();
+    private final Map<Long, Running<T>> running = new HashMap<>();
+    private final TreeSet<Waiting<T>> byDeadline = new TreeSet<>(Waiting.BY_DEADLINE);
+    private final List<Work<T>> expired = new ArrayList<>();
+    private int limit;
+    private long arrivals;
+    private long departures;
+    private long latestNanos = Long.MIN_VALUE;
+
+    private AdmissionQueue(Builder<T> builder) {
+        capacity = builder.capacity;
+        for (Rank rank : Rank.values()) {
+            ranks.put(rank, new RankState<>());
+        }
+        limit(builder.limit);
+        floors(builder.floors);
+    }
+
     /** Returns a builder of an empty queue. */
     public static <T> Builder<T> builder() {
         return new Builder<>();
     }
 
-    /** Sets how many slots may be used; when it shrinks, running work finishes and nothing new starts until it fits. */
+    /**
+     * Sets how many slots may be used; when it shrinks, running work finishes and nothing new starts until it fits.
+     *
+     * @throws IllegalArgumentException if {@code slots} is negative
+     */
     public void limit(int slots) {
-        throw new UnsupportedOperationException();
+        if (slots < 0) {
+            throw new IllegalArgumentException("slots must be at least 0: " + slots);
+        }
+        limit = slots;
     }
 
-    /** Sets the least share of slot time of each rank, as fractions from 0 to 1. */
+    /**
+     * Sets the least share of slot time of each rank, as fractions from 0 to 1; ranks that are not named have none.
+     *
+     * @throws IllegalArgumentException if a floor is out of range or their sum exceeds 1
+     */
     public void floors(Map<Rank, Double> floors) {
-        throw new UnsupportedOperationException();
+        double sum = 0;
+        for (Map.Entry<Rank, Double> floor : floors.entrySet()) {
+            if (!(floor.getValue() >= 0 && floor.getValue() <= 1)) {
+                throw new IllegalArgumentException("floor must be from 0 to 1: " + floor);
+            }
+            sum += floor.getValue();
+        }
+        if (sum > 1 + 1e-9) {
+            throw new IllegalArgumentException("sum of floors must be at most 1: " + floors);
+        }
+        ranks.forEach((rank, state) -> state.floor = floors.getOrDefault(rank, 0.0));
     }
 
-    /** Queues the work or refuses it. Call {@link #next} afterwards, because a slot may be free. */
+    /**
+     * Queues the work or refuses it. Call {@link #next} afterwards, because a slot may be free.
+     *
+     * @throws IllegalArgumentException if work with the same id waits or is in flight
+     */
     public Offer<T> offer(Work<T> work, long nowNanos) {
-        throw new UnsupportedOperationException();
+        long now = advance(nowNanos);
+        if (waiting.containsKey(work.id()) || running.containsKey(work.id())) {
+            throw new IllegalArgumentException("work id is in use: " + work.id());
+        }
+        collectExpired(now);
+        double wait = WaitEstimate.of(ranks, work.rank(), work.customer(), limit, running.size());
+        if (isTooLate(work, wait, now)) {
+            return refusal(ResultCode.DEADLINE_TOO_SHORT, wait);
+        }
+        Waiting<T> victim = null;
+        if (waiting.size() >= capacity) {
+            victim = victimFor(work);
+            if (victim == null) {
+                return refusal(ResultCode.QUEUE_FULL, wait);
+            }
+            leave(victim);
+        }
+        enter(work);
+        return new Offer<>(Optional.empty(), Optional.ofNullable(victim).map(Waiting::work));
     }
 
     /** Takes the work that starts now and counts it in flight; empty if no slot is free or nothing waits. */
     public Optional<Work<T>> next(long nowNanos) {
-        throw new UnsupportedOperationException();
+        long now = advance(nowNanos);
+        collectExpired(now);
+        if (running.size() >= limit) {
+            return Optional.empty();
+        }
+        Rank first = highestWaiting();
+        if (first == null) {
+            return Optional.empty();
+        }
+        Rank rank = furthestBehindFloor(first);
+        return Optional.of(start(rank, rank != first, now));
     }
 
     /** Removes and returns waiting work whose deadline has passed; the caller refuses it as not run. */
     public List<Work<T>> expired(long nowNanos) {
-        throw new UnsupportedOperationException();
+        collectExpired(advance(nowNanos));
+        List<Work<T>> result = List.copyOf(expired);
+        expired.clear();
+        return result;
     }
 
     /** Frees the slot of work that {@link #next} returned and learns from the time it took. */
     public void finished(Work<T> work, long nowNanos) {
-        throw new UnsupportedOperationException();
+        long now = advance(nowNanos);
+        Running<T> done = running.remove(work.id());
+        Invariant.check(done != null, "finished work must be in flight", work.id());
+        RankState<T> state = ranks.get(done.work().rank());
+        if (done.byFloor()) {
+            state.startedByFloor--;
+        } else {
+            state.startedInTurn--;
+        }
+        state.lines.finish(done.line(), done.chargedNanos(), (double) (now - done.startNanos()));
     }
 
     /** Removes waiting work; returns false if it is not waiting any more. */
     public boolean cancel(Work<T> work) {
-        throw new UnsupportedOperationException();
+        Waiting<T> entry = waiting.get(work.id());
+        if (entry == null) {
+            return false;
+        }
+        leave(entry);
+        return true;
     }
 
     /** Returns how much work is in flight. */
     public int inFlight() {
-        throw new UnsupportedOperationException();
+        return running.size();
+    }
+
+    /** Returns how much work of a rank is in flight. */
+    public int inFlight(Rank rank) {
+        return ranks.get(rank).inFlight();
     }
 
     /** Returns how much work of a rank waits. */
     public int waiting(Rank rank) {
-        throw new UnsupportedOperationException();
+        return ranks.get(rank).waiting();
+    }
+
+    /** Returns how long new work of a customer would wait, in nanoseconds. */
+    public long estimatedWaitNanos(Rank rank, String customer) {
+        return (long) WaitEstimate.of(ranks, rank, customer, limit, running.size());
+    }
+
+    private long advance(long nowNanos) {
+        if (latestNanos == Long.MIN_VALUE) {
+            latestNanos = nowNanos;
+        }
+        long passed = nowNanos - latestNanos;
+        if (passed > 0) {
+            latestNanos = nowNanos;
+            for (RankState<T> state : ranks.values()) {
+                state.advance(passed, limit);
+            }
+        }
+        return latestNanos;
+    }
+
+    private void collectExpired(long now) {
+        while (!byDeadline.isEmpty() && byDeadline.first().work().deadlineNanos() - now <= 0) {
+            Waiting<T> entry = byDeadline.first();
+            leave(entry);
+            expired.add(entry.work());
+        }
+    }
+
+    /** The first waiting work of a rank is never refused by estimate, so that a wrong estimate is corrected by its run. */
+    private boolean isTooLate(Work<T> work, double wait, long now) {
+        long left = work.deadlineNanos() - now;
+        if (left <= 0) {
+            return true;
+        }
+        double service = WaitEstimate.serviceNanos(ranks, work.rank());
+        return ranks.get(work.rank()).waiting() > 0 && wait + service > (double) left;
+    }
+
+    private Offer<T> refusal(ResultCode code, double waitNanos) {
+        long retryAfterMs = Math.max(1, (long) (waitNanos / NANOS_PER_MS));
+        return new Offer<>(Optional.of(new Refusal(code, retryAfterMs)), Optional.empty());
+    }
+
+    /**
+     * Returns the waiting work that makes room, or null. A rank below its floor's part of the queue takes room from any rank
+     * above its own part; otherwise room comes from lower ranks, or from a customer of the same rank with more waiting.
+     */
+    private Waiting<T> victimFor(Work<T> work) {
+        RankState<T> own = ranks.get(work.rank());
+        boolean belowPart = own.waiting() < part(own);
+        for (Rank rank : LOWEST_FIRST) {
+            RankState<T> state = ranks.get(rank);
+            boolean lower = rank.compareTo(work.rank()) > 0;
+            if (rank != work.rank() && (lower || belowPart) && state.waiting() > part(state)) {
+                return state.lines.newest();
+            }
+        }
+        boolean fairer = own.lines.longestBacklog() > own.lines.waitingOf(work.customer()) + 1;
+        return fairer ? own.lines.newest() : null;
+    }
+
+    /** Returns how many waiting entries of a rank cannot be displaced by other ranks. */
+    private int part(RankState<T> state) {
+        return (int) (state.floor * capacity);
+    }
+
+    private void enter(Work<T> work) {
+        Waiting<T> entry = ranks.get(work.rank()).lines.add(arrivals++, work);
+        waiting.put(work.id(), entry);
+        byDeadline.add(entry);
+        Invariant.check(waiting.size() <= capacity, "waiting work must fit the capacity", waiting.size());
+    }
+
+    private void leave(Waiting<T> entry) {
+        ranks.get(entry.work().rank()).lines.remove(entry);
+        unlist(entry);
+    }
+
+    private void unlist(Waiting<T> entry) {
+        waiting.remove(entry.work().id());
+        byDeadline.remove(entry);
+        departures++;
+        Invariant.check(
+                arrivals - departures == waiting.size() && waiting.size() == byDeadline.size(),
+                "every piece of work must leave the queue exactly once",
+                entry.work().id());
+    }
+
+    private Rank highestWaiting() {
+        for (Map.Entry<Rank, RankState<T>> state : ranks.entrySet()) {
+            if (state.getValue().waiting() > 0) {
+                return state.getKey();
+            }
+        }
+        return null;
+    }
+
+    private Rank furthestBehindFloor(Rank first) {
+        Rank chosen = first;
+        double most = 0;
+        for (Map.Entry<Rank, RankState<T>> entry : ranks.entrySet()) {
+            RankState<T> state = entry.getValue();
+            double behind = state.credit.behindNanos(state.floor * limit);
+            if (entry.getKey().compareTo(first) > 0 && state.mayGoFirst(limit) && behind > most) {
+                chosen = entry.getKey();
+                most = behind;
+            }
+        }
+        return chosen;
+    }
+
+    private Work<T> start(Rank rank, boolean byFloor, long now) {
+        RankState<T> state = ranks.get(rank);
+        Waiting<T> entry = state.lines.first();
+        double charged = state.lines.start(entry);
+        unlist(entry);
+        running.put(entry.work().id(), new Running<>(entry.work(), entry.line(), now, charged, byFloor));
+        if (byFloor) {
+            state.startedByFloor++;
+        } else {
+            state.startedInTurn++;
+        }
+        Invariant.check(running.size() <= limit, "work in flight must not exceed the limit", running.size());
+        return entry.work();
     }
 
     /** Sets the properties of a queue. */
     public static final class Builder<T> {
+        private static final int DEFAULT_CAPACITY = 512;
+
+        private int capacity = DEFAULT_CAPACITY;
+        private int limit;
+        private Map<Rank, Double> floors = Map.of();
+
         private Builder() {}
 
         /** Sets how much work may wait at most. */
         public Builder<T> capacity(int waiting) {
-            throw new UnsupportedOperationException();
+            if (waiting < 1) {
+                throw new IllegalArgumentException("capacity must be at least 1: " + waiting);
+            }
+            this.capacity = waiting;
+            return this;
         }
 
         /** Sets the slots, see {@link AdmissionQueue#limit}. */
         public Builder<T> limit(int slots) {
-            throw new UnsupportedOperationException();
+            this.limit = slots;
+            return this;
         }
 
         /** Sets the floors, see {@link AdmissionQueue#floors}. */
         public Builder<T> floors(Map<Rank, Double> floors) {
-            throw new UnsupportedOperationException();
+            this.floors = Map.copyOf(Objects.requireNonNull(floors, "floors"));
+            return this;
         }
 
         /** Returns the queue. */
         public AdmissionQueue<T> build() {
-            throw new UnsupportedOperationException();
+            return new AdmissionQueue<>(this);
         }
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/RankState.java
@@ -0,0 +1,31 @@
+package io.carawaylift.decisions.admission;
+
+/** Everything the queue knows of one rank. */
+final class RankState<T> {
+    /** Time over which the use of slots by a rank is averaged for estimates; 2 s follows the onset of a flood. */
+    private static final double USE_NANOS = 2e9;
+
+    final RankLines<T> lines = new RankLines<>();
+    final FloorCredit credit = new FloorCredit();
+    double floor;
+    int startedByFloor;
+    int startedInTurn;
+    double meanSlots;
+
+    int inFlight() {
+        return startedByFloor + startedInTurn;
+    }
+
+    int waiting() {
+        return lines.waiting();
+    }
+
+    void advance(double nanos, int limit) {
+        credit.advance(nanos, floor * limit, waiting() > 0, startedByFloor, startedInTurn);
+        meanSlots += (inFlight() - meanSlots) * -Math.expm1(-nanos / USE_NANOS);
+    }
+
+    boolean mayGoFirst(int limit) {
+        return waiting() > 0 && credit.mayGoFirst(floor * limit, inFlight());
+    }
+}
--- a/decisions/src/main/java/io/carawaylift/decisions/admission/RetryBudget.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/RetryBudget.java
@@ -1,21 +1,44 @@
 package io.carawaylift.decisions.admission;
 
+import io.carawaylift.decisions.Invariant;
+
 /**
  * Limits retries and hedges to a fraction of first attempts, so that retries cannot multiply a flood. Not thread-safe.
  */
 public final class RetryBudget {
-    /** Creates a budget; {@code fraction} is retries per first attempt, from 0 to 1. */
+    /** Retries saved at most; more would let a failure after a quiet hour start with a burst of retries. */
+    private static final double MOST_SAVED = 20;
+
+    /** Absorbs the rounding of sums of fractions such as 0.1. */
+    private static final double ROUNDING = 1e-9;
+
+    private final double fraction;
+    private double saved;
+
+    /**
+     * Creates a budget; {@code fraction} is retries per first attempt, from 0 to 1.
+     *
+     * @throws IllegalArgumentException if it is out of range
+     */
     public RetryBudget(double fraction) {
-        throw new UnsupportedOperationException();
+        if (!(fraction >= 0 && fraction <= 1)) {
+            throw new IllegalArgumentException("fraction must be from 0 to 1: " + fraction);
+        }
+        this.fraction = fraction;
     }
 
     /** Records a first attempt. */
     public void firstAttempt() {
-        throw new UnsupportedOperationException();
+        saved = Math.min(MOST_SAVED, saved + fraction);
     }
 
     /** Takes one retry from the budget; returns false if it is used up. */
     public boolean tryRetry() {
-        throw new UnsupportedOperationException();
+        if (saved < 1 - ROUNDING) {
+            return false;
+        }
+        saved = Math.max(0, saved - 1);
+        Invariant.check(saved <= MOST_SAVED, "saved retries must be bounded", saved);
+        return true;
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/Running.java
@@ -0,0 +1,10 @@
+package io.carawaylift.decisions.admission;
+
+/**
+ * Work that holds a slot.
+ *
+ * @param startNanos monotonic time of its start
+ * @param chargedNanos slot time charged to its customer at the start, corrected at the end
+ * @param byFloor whether it started ahead of waiting work of higher rank
+ */
+record Running<T>(Work<T> work, CustomerLine<T> line, long startNanos, double chargedNanos, boolean byFloor) {}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/ServiceTime.java
@@ -0,0 +1,25 @@
+package io.carawaylift.decisions.admission;
+
+/** Moving mean of observed service times in nanoseconds. */
+final class ServiceTime {
+    /** Service times differ by a factor of 100, so a mean over fewer samples follows single long requests. */
+    private static final double NEWEST_WEIGHT = 0.02;
+
+    private long samples;
+    private double mean;
+
+    void add(double nanos) {
+        samples++;
+        double weight = Math.max(NEWEST_WEIGHT, 1.0 / samples);
+        mean += weight * (nanos - mean);
+    }
+
+    boolean known() {
+        return samples > 0;
+    }
+
+    /** Returns the mean, or {@code fallback} before the first sample. */
+    double meanOr(double fallback) {
+        return samples > 0 ? mean : fallback;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/WaitEstimate.java
@@ -0,0 +1,66 @@
+package io.carawaylift.decisions.admission;
+
+import io.carawaylift.model.Rank;
+import java.util.Map;
+
+/** Estimates how long new work would wait. */
+final class WaitEstimate {
+    /** Smallest rate assumed for a rank to which higher ranks leave nothing, in slots. */
+    private static final double LEAST_SLOTS = 0.001;
+
+    private WaitEstimate() {}
+
+    /**
+     * Returns the expected wait in nanoseconds. A rank gets its floor or what higher ranks leave to it, whichever serves it
+     * sooner. Within the rank the customer waits for its turns only, so another customer's backlog does not count in full.
+     */
+    static <T> double of(Map<Rank, RankState<T>> ranks, Rank rank, String customer, int limit, int inFlight) {
+        RankState<T> own = ranks.get(rank);
+        double service = serviceNanos(ranks, rank);
+        double ownWork = ownWorkNanos(own.lines, customer, service);
+        double higherWork = 0;
+        double taken = 0;
+        for (Rank other : Rank.values()) {
+            RankState<T> state = ranks.get(other);
+            if (other.compareTo(rank) < 0) {
+                higherWork += state.waiting() * serviceNanos(ranks, other);
+                taken += state.meanSlots;
+            } else if (other.compareTo(rank) > 0 && state.waiting() > 0) {
+                taken += state.floor * limit;
+            }
+        }
+        if (inFlight >= limit) {
+            ownWork += service;
+        }
+        double wait = (ownWork + higherWork) / Math.max(LEAST_SLOTS, limit - taken);
+        if (own.floor * limit > 0) {
+            wait = Math.min(wait, ownWork / (own.floor * limit));
+        }
+        return wait;
+    }
+
+    /** Returns the mean service time of a rank, or that of all ranks if it has none, or 0 if nothing is known. */
+    static <T> double serviceNanos(Map<Rank, RankState<T>> ranks, Rank rank) {
+        ServiceTime own = ranks.get(rank).lines.serviceTime;
+        if (own.known()) {
+            return own.meanOr(0);
+        }
+        double sum = 0;
+        int known = 0;
+        for (RankState<T> state : ranks.values()) {
+            if (state.lines.serviceTime.known()) {
+                sum += state.lines.serviceTime.meanOr(0);
+                known++;
+            }
+        }
+        return known == 0 ? 0 : sum / known;
+    }
+
+    private static <T> double ownWorkNanos(RankLines<T> lines, String customer, double service) {
+        int own = lines.waitingOf(customer);
+        int customers = lines.customersWaiting() + (own == 0 ? 1 : 0);
+        double turns = (own + 1.0) * customers - 1;
+        double byTurns = turns * service + lines.aheadNanos(customer) * (customers - 1);
+        return Math.min(lines.waiting() * service, byTurns);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/Waiting.java
@@ -0,0 +1,15 @@
+package io.carawaylift.decisions.admission;
+
+import java.util.Comparator;
+
+/**
+ * Work in the queue.
+ *
+ * @param number position in the order of arrival
+ */
+record Waiting<T>(long number, Work<T> work, CustomerLine<T> line) {
+    /** Orders by deadline, then by arrival. */
+    static final Comparator<Waiting<?>> BY_DEADLINE = Comparator.<Waiting<?>>comparingLong(
+                    entry -> entry.work().deadlineNanos())
+            .thenComparingLong(Waiting::number);
+}
--- a/decisions/src/main/java/io/carawaylift/decisions/steering/OwnerSelector.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/steering/OwnerSelector.java
@@ -1,11 +1,18 @@
 package io.carawaylift.decisions.steering;
 
 import io.carawaylift.model.EntryProcess;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
 /** Chooses among the owners of an upstream's endpoints the one with most room. Stateless and thread-safe. */
 public final class OwnerSelector {
+    /** Multiplier of a 64-bit finalizer; spreads consecutive seeds over the tied candidates. */
+    private static final long MIX = 0x9E3779B97F4A7C15L;
+
+    /** Creates a selector. */
+    public OwnerSelector() {}
+
     /**
      * An owner as the choosing process sees it.
      *
@@ -16,6 +23,29 @@
 
     /** Returns the owner with the least outstanding work per slot, ties broken by {@code seed}; empty if none has slots. */
     public Optional<EntryProcess> choose(List<Candidate> candidates, long seed) {
-        throw new UnsupportedOperationException();
+        List<Candidate> best = new ArrayList<>();
+        for (Candidate candidate : candidates) {
+            if (candidate.slots() <= 0) {
+                continue;
+            }
+            int order = best.isEmpty() ? 0 : compareLoad(candidate, best.get(0));
+            if (order < 0) {
+                best.clear();
+            }
+            if (order <= 0) {
+                best.add(candidate);
+            }
+        }
+        if (best.isEmpty()) {
+            return Optional.empty();
+        }
+        int index = (int) Math.floorMod((seed * MIX) >>> 32, (long) best.size());
+        return Optional.of(best.get(index).process());
+    }
+
+    private static int compareLoad(Candidate left, Candidate right) {
+        long leftLoad = (long) left.outstanding() * right.slots();
+        long rightLoad = (long) right.outstanding() * left.slots();
+        return Long.compare(leftLoad, rightLoad);
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/steering/SlotAllotment.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/steering/SlotAllotment.java
@@ -1,9 +1,17 @@
 package io.carawaylift.decisions.steering;
 
+import io.carawaylift.decisions.Invariant;
+import io.carawaylift.model.Endpoint;
 import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.RegionRow;
 import io.carawaylift.model.Table;
+import io.carawaylift.model.UpstreamRow;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Divides the limits of regions and upstreams over their endpoints by the largest remainder method. A function of table and
@@ -14,6 +22,56 @@
 
     /** Returns usable slots by endpoint id; 0 for leaving endpoints, drained upstreams and upstreams not in the table. */
     public static Map<String, Integer> of(Table table, Collection<EndpointList> lists) {
-        throw new UnsupportedOperationException();
+        Map<String, UpstreamRow> upstreams = new TreeMap<>();
+        table.upstreams().forEach(row -> upstreams.put(row.name(), row));
+        Map<String, Integer> slots = new TreeMap<>();
+        Map<String, List<String>> byUpstream = new TreeMap<>();
+        Map<String, List<String>> byRegion = new TreeMap<>();
+        for (EndpointList list : lists) {
+            for (Endpoint endpoint : list.endpoints()) {
+                UpstreamRow row = upstreams.get(endpoint.upstream());
+                boolean usable = row != null && !row.drain() && !endpoint.leaving();
+                slots.put(endpoint.id(), usable ? Math.max(0, endpoint.slots()) : 0);
+                if (usable) {
+                    byUpstream
+                            .computeIfAbsent(row.name(), name -> new ArrayList<>())
+                            .add(endpoint.id());
+                    byRegion.computeIfAbsent(row.region(), name -> new ArrayList<>())
+                            .add(endpoint.id());
+                }
+            }
+        }
+        byUpstream.forEach((name, ids) -> reduce(slots, ids, upstreams.get(name).maxInFlight()));
+        byRegion.forEach((name, ids) -> reduce(
+                slots, ids, table.region(name).map(RegionRow::maxInFlight).orElse(0)));
+        return slots;
+    }
+
+    /** Reduces the slots of some endpoints to a limit, in proportion to their slots. */
+    private static void reduce(Map<String, Integer> slots, List<String> ids, int limit) {
+        long total = ids.stream().mapToLong(slots::get).sum();
+        if (limit <= 0 || total <= limit) {
+            return;
+        }
+        List<Part> parts = new ArrayList<>();
+        long given = 0;
+        for (String id : ids) {
+            long quota = (long) slots.get(id) * limit;
+            parts.add(new Part(id, quota % total));
+            slots.put(id, (int) (quota / total));
+            given += quota / total;
+        }
+        parts.sort(Part.LARGEST_REMAINDER_FIRST);
+        for (int i = 0; i < limit - given; i++) {
+            slots.merge(parts.get(i).id(), 1, Integer::sum);
+        }
+        long sum = ids.stream().mapToLong(slots::get).sum();
+        Invariant.check(sum == limit, "allotted slots must equal the limit", sum);
+    }
+
+    private record Part(String id, long remainder) {
+        /** Endpoint ids break ties, so that the order of the lists has no influence. */
+        private static final Comparator<Part> LARGEST_REMAINDER_FIRST =
+                Comparator.comparingLong(Part::remainder).reversed().thenComparing(Part::id);
     }
 }
