--- a/entry/src/main/java/io/carawaylift/entry/AnswerClassifier.java
+++ b/entry/src/main/java/io/carawaylift/entry/AnswerClassifier.java
@@ -20,7 +20,7 @@
             return result;
         }
         if (answer.status() == SERVICE_UNAVAILABLE && answer.headers().saysNotRun()) {
-            return new Refused(ResultCode.UPSTREAM_REFUSED, "endpoint " + endpoint, retryAfterMs(answer));
+            return new Refused(ResultCode.UPSTREAM_REFUSED, "endpoint " + endpoint, retryAfterMs(answer), false);
         }
         return answer.as(ResultCode.ANSWERED, endpoint);
     }
@@ -38,7 +38,7 @@
         return switch (code.get().outcome()) {
             case ANSWERED -> answer.as(
                     code.get(), answer.headers().first(Headers.ENDPOINT).orElse(""));
-            case NOT_RUN -> new Refused(code.get(), detail, retryAfterMs(answer));
+            case NOT_RUN -> new Refused(code.get(), detail, retryAfterMs(answer), true);
             case UNKNOWN -> new Unknown(code.get(), detail);
             case NOT_A_REQUEST -> new Unknown(ResultCode.CONNECTION_LOST, detail);
         };
--- a/entry/src/main/java/io/carawaylift/entry/AttemptResult.java
+++ b/entry/src/main/java/io/carawaylift/entry/AttemptResult.java
@@ -38,18 +38,24 @@
         Answered as(ResultCode newCode, String newEndpoint) {
             return new Answered(newCode, status, headers, declaredLength, head, rest, newEndpoint);
         }
+
+        /** Returns this answer with its rest read through another source. */
+        Answered withRest(BodySource newRest) {
+            return new Answered(code, status, headers, declaredLength, head, Optional.of(newRest), endpoint);
+        }
     }
 
     /**
      * No upstream ran the request.
      *
      * @param retryAfterMs when the caller should try again, in milliseconds
+     * @param byPeer whether another entry process said so; otherwise this process did not send the request
      */
-    record Refused(ResultCode code, String detail, long retryAfterMs) implements AttemptResult {
+    record Refused(ResultCode code, String detail, long retryAfterMs, boolean byPeer) implements AttemptResult {
         private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
 
         static Refused of(ResultCode code, String detail) {
-            return new Refused(code, detail, DEFAULT_RETRY_AFTER_MS);
+            return new Refused(code, detail, DEFAULT_RETRY_AFTER_MS, false);
         }
     }
 
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/BodyCopy.java
@@ -0,0 +1,159 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.entry.AnswerDelivery.Exchange;
+import io.carawaylift.entry.AttemptResult.Answered;
+import io.carawaylift.entry.CallerResponse.BodyWriter;
+import io.carawaylift.model.ResultCode;
+import java.io.IOException;
+import java.util.Optional;
+import okio.ByteString;
+
+/**
+ * Copies a long body to the caller with back pressure, and fetches the rest from another endpoint if it breaks off and the
+ * answer has a strong validator. A body that stays incomplete ends with an aborted connection. One thread at a time.
+ */
+final class BodyCopy {
+    /** Piece that is written at a time, small enough for the pacing of links. */
+    static final int PIECE_BYTES = 16 * 1024;
+
+    private static final int OK = 200;
+    private static final int PARTIAL_CONTENT = 206;
+
+    private final Exchange exchange;
+    private final RequestRun.Means means;
+    private final LinkPacer pacer;
+    private final BodyWriter writer;
+    private final String etag;
+    private final long length;
+    private final boolean mayResume;
+    private final ResultCode code;
+    private long written;
+
+    BodyCopy(Exchange exchange, RequestRun.Means means, LinkPacer pacer, BodyWriter writer, Answered answer) {
+        this.exchange = exchange;
+        this.means = means;
+        this.pacer = pacer;
+        this.writer = writer;
+        this.code = answer.code();
+        this.etag = strongTag(answer);
+        this.length = answer.declaredLength();
+        InboundRequest request = exchange.request();
+        this.mayResume = !etag.isEmpty()
+                && answer.status() == OK
+                && request.hop() == 0
+                && request.repeatable()
+                && request.method().equals("GET")
+                && request.headers().first("Range").isEmpty();
+    }
+
+    /** Copies the answer that the writer was started for. */
+    void first(Answered answer) {
+        copy(answer, 0);
+    }
+
+    private void copy(Answered answer, long skip) {
+        try {
+            transfer(answer, skip);
+        } catch (BrokenBodyException e) {
+            resume(String.valueOf(e.getMessage()));
+            return;
+        } catch (IOException e) {
+            abort(String.valueOf(e.getMessage()));
+            return;
+        }
+        if (length >= 0 && written != length) {
+            abort("the body has " + written + " of " + length + " bytes");
+            return;
+        }
+        writer.finish();
+        exchange.trace().finish(code, "");
+    }
+
+    private void transfer(Answered answer, long skip) throws IOException {
+        long left = skip;
+        for (int at = 0; at < answer.head().size(); at += PIECE_BYTES) {
+            int end = Math.min(answer.head().size(), at + PIECE_BYTES);
+            left = write(answer.head().substring(at, end), left);
+        }
+        if (answer.rest().isEmpty()) {
+            return;
+        }
+        byte[] piece = new byte[PIECE_BYTES];
+        for (int count = read(answer.rest().get(), piece); count >= 0; count = read(answer.rest().get(), piece)) {
+            left = write(ByteString.of(piece, 0, count), left);
+        }
+    }
+
+    /** Writes a piece without its first {@code skip} bytes; returns how many bytes are still to be skipped. */
+    private long write(ByteString piece, long skip) throws IOException {
+        int skipped = (int) Math.min(skip, piece.size());
+        ByteString part = piece.substring(skipped);
+        if (!pacer.await(exchange.toRegion(), part.size(), exchange.request().deadlineNanos())) {
+            throw new IOException("link to region " + exchange.toRegion() + " has no room before the deadline");
+        }
+        if (part.size() > 0) {
+            writer.write(part);
+        }
+        written += part.size();
+        return skip - skipped;
+    }
+
+    private static int read(BodySource source, byte[] piece) throws IOException {
+        try {
+            return source.read(piece);
+        } catch (IOException e) {
+            throw new BrokenBodyException(e);
+        }
+    }
+
+    private void resume(String reason) {
+        boolean inTime = means.clock().getAsLong() < exchange.request().deadlineNanos();
+        if (!mayResume || !inTime) {
+            abort(reason);
+            return;
+        }
+        InboundRequest rest = exchange.request().resumedAt(written, etag);
+        RequestRun run = new RequestRun(rest, means, exchange.trace(), this::resumed);
+        exchange.response().onLeft(() -> {
+            run.cancel();
+            abort("the caller left");
+        });
+        run.startAsRetry();
+    }
+
+    private void resumed(AttemptResult result) {
+        if (!(result instanceof Answered answer) || !strongTag(answer).equals(etag)) {
+            abort("the rest after " + written + " bytes was not available: " + result.code());
+        } else if (answer.status() == PARTIAL_CONTENT && startsAt(answer, written)) {
+            copy(answer, 0);
+        } else if (answer.status() == OK) {
+            copy(answer, written);
+        } else {
+            abort("the rest after " + written + " bytes was answered with status " + answer.status());
+        }
+    }
+
+    private void abort(String reason) {
+        writer.abort();
+        exchange.trace().finish(ResultCode.ANSWER_CUT, reason);
+    }
+
+    private static boolean startsAt(Answered answer, long offset) {
+        Optional<String> range = answer.headers().first("Content-Range");
+        return range.isPresent() && range.get().startsWith("bytes " + offset + "-");
+    }
+
+    /** Returns the entity tag, or an empty text if there is none or it is a weak one. */
+    private static String strongTag(Answered answer) {
+        return answer.headers().first("ETag").filter(tag -> tag.startsWith("\"")).orElse("");
+    }
+
+    /** The upstream's side failed, not the caller's. */
+    private static final class BrokenBodyException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        BrokenBodyException(IOException cause) {
+            super("the upstream's body broke off: " + cause.getMessage(), cause);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/CallerHandler.java
@@ -0,0 +1,182 @@
+package io.carawaylift.entry;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.util.ArrayList;
+import java.util.List;
+import okio.Buffer;
+import okio.ByteString;
+
+/**
+ * One connection of a caller: collects the body of a request, hands the request over, and takes the next one when the
+ * answer is complete. A request that is sent before the previous answer ended is not read, and the connection is closed
+ * after that answer.
+ */
+final class CallerHandler extends SimpleChannelInboundHandler<HttpObject> {
+    private final ServerState state;
+
+    private HttpRequest head;
+    private Buffer body = new Buffer();
+    private NettyResponse response;
+    private long reserved;
+    private boolean discarding;
+
+    CallerHandler(ServerState state) {
+        super(HttpObject.class);
+        this.state = state;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        state.connected(context.channel());
+        context.fireChannelActive();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            refuse(context, message, ServerState.Fault.MALFORMED);
+            return;
+        }
+        if (message instanceof HttpRequest request) {
+            begin(request);
+        }
+        if (message instanceof HttpContent content && head != null && !discarding) {
+            collect(context, content);
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        if (response != null) {
+            discarding = true;
+            return;
+        }
+        head = request;
+    }
+
+    private void collect(ChannelHandlerContext context, HttpContent content) {
+        ByteBuf bytes = content.content();
+        int length = bytes.readableBytes();
+        if (body.size() + length > ServerState.MAX_BODY_BYTES) {
+            refuse(context, head, ServerState.Fault.BODY_TOO_LARGE);
+            return;
+        }
+        if (!state.reserve(length)) {
+            refuse(context, head, ServerState.Fault.NO_MEMORY);
+            return;
+        }
+        reserved += length;
+        byte[] copy = new byte[length];
+        bytes.readBytes(copy);
+        body.write(copy);
+        if (content instanceof LastHttpContent) {
+            dispatch(context);
+        }
+    }
+
+    private void dispatch(ChannelHandlerContext context) {
+        RawRequest request =
+                new RawRequest(head.method().name(), head.uri(), headers(head), body.readByteString());
+        boolean keepAlive = HttpUtil.isKeepAlive(head) && !state.isClosing();
+        HttpRequest current = head;
+        head = null;
+        body = new Buffer();
+        start(context, current, keepAlive);
+        state.handle(request, response);
+    }
+
+    /** Answers a request that is not handed over, and closes the connection, because its rest is not read. */
+    private void refuse(ChannelHandlerContext context, HttpObject message, ServerState.Fault fault) {
+        discarding = true;
+        if (response != null) {
+            return;
+        }
+        body = new Buffer();
+        RawRequest request = new RawRequest("", "", HeaderList.EMPTY, ByteString.EMPTY);
+        HttpRequest faulty = message instanceof HttpRequest found ? found : null;
+        if (faulty != null && faulty.decoderResult().isSuccess()) {
+            request = new RawRequest(faulty.method().name(), faulty.uri(), headers(faulty), ByteString.EMPTY);
+        }
+        start(context, faulty, false);
+        state.refuse(request, response, fault);
+    }
+
+    private void start(ChannelHandlerContext context, HttpRequest request, boolean keepAlive) {
+        String method = request == null ? "" : request.method().name();
+        boolean http10 = request != null && HttpVersion.HTTP_1_0.equals(request.protocolVersion());
+        state.started();
+        response = new NettyResponse(
+                context.channel(),
+                new NettyResponse.RequestHead(method, http10, keepAlive),
+                () -> completed(context),
+                state.clock());
+    }
+
+    private void completed(ChannelHandlerContext context) {
+        if (response == null) {
+            return;
+        }
+        response = null;
+        releaseMemory();
+        state.ended();
+        if (discarding) {
+            context.close(context.voidPromise());
+        }
+    }
+
+    private void releaseMemory() {
+        state.release(reserved);
+        reserved = 0;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        state.disconnected(context.channel());
+        releaseMemory();
+        NettyResponse open = response;
+        if (open != null) {
+            open.channelClosed();
+            if (response != null) {
+                response = null;
+                state.ended();
+            }
+        }
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (response != null) {
+            response.writabilityChanged();
+        }
+        context.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent && response == null) {
+            context.close(context.voidPromise());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        System.getLogger(CallerHandler.class.getName())
+                .log(System.Logger.Level.DEBUG, "connection of a caller failed", cause);
+        context.close(context.voidPromise());
+    }
+
+    private static HeaderList headers(HttpRequest request) {
+        List<HeaderField> fields = new ArrayList<>();
+        request.headers().forEach(entry -> fields.add(new HeaderField(entry.getKey(), entry.getValue())));
+        return new HeaderList(fields);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/CallerServer.java
@@ -0,0 +1,94 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.runtime.Service;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * HTTP server for callers and other entry processes, on Netty's codec. Jooby is not used here, because it can neither abort
+ * an answer in mid-body nor tell that the caller left.
+ */
+final class CallerServer implements Service {
+    private static final int IO_THREADS = 4;
+    private static final int BACKLOG = 1024;
+    private static final int IDLE_SECONDS = 75;
+    private static final long QUIET_MS = 0;
+    private static final long STOP_LIMIT_MS = 2_000;
+
+    private final String address;
+    private final int requestedPort;
+    private final ServerState state;
+    private EventLoopGroup group;
+    private Channel serverChannel;
+
+    CallerServer(String address, int port, ServerState state) {
+        this.address = address;
+        this.requestedPort = port;
+        this.state = state;
+    }
+
+    @Override
+    public void start() {
+        group = new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Initializer(state));
+        ChannelFuture bound = bootstrap.bind(address, requestedPort).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new CarawayliftException(
+                    ResultCode.NETWORK_FAILED, "cannot listen at " + address + ":" + requestedPort, bound.cause());
+        }
+        serverChannel = bound.channel();
+    }
+
+    /** Returns the port that the server listens at. */
+    int port() {
+        return ((InetSocketAddress) serverChannel.localAddress()).getPort();
+    }
+
+    @Override
+    public void stop() {
+        if (serverChannel == null) {
+            return;
+        }
+        serverChannel.close().awaitUninterruptibly();
+        state.closeAll();
+        group.shutdownGracefully(QUIET_MS, STOP_LIMIT_MS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly();
+    }
+
+    private static final class Initializer extends ChannelInitializer<SocketChannel> {
+        private final ServerState state;
+
+        Initializer(ServerState state) {
+            this.state = state;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpServerExpectContinueHandler())
+                    .addLast(new IdleStateHandler(IDLE_SECONDS, 0, 0))
+                    .addLast(new CallerHandler(state));
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/ControlRecords.java
@@ -0,0 +1,109 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.AcceptedTable;
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.RecordCodec;
+import io.carawaylift.model.RecordNames;
+import io.carawaylift.peer.ControlLink;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Takes records and confirmations from the control program. Nothing is in force before the first synchronisation, because
+ * some records could be missing. A lost connection changes nothing here: the lease guard reduces the slots by time.
+ */
+final class ControlRecords implements ControlLink.Listener {
+    private static final Logger LOG = System.getLogger(ControlRecords.class.getName());
+
+    private final LeaseBook leases;
+    private final Consumers consumers;
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Map<String, Long> appliedOwners = new HashMap<>();
+    private final Map<String, EndpointList> endpoints = new TreeMap<>();
+    private final Map<String, OwnersRecord> owners = new TreeMap<>();
+    private AcceptedTable table;
+    private boolean isSynchronized;
+
+    /** What is told about changes. */
+    interface Consumers {
+        /** Takes a newer topology. */
+        void topology(Topology topology);
+
+        /** Takes that the platform holds a heartbeat of this process. */
+        void confirmed(long heartbeat);
+    }
+
+    ControlRecords(LeaseBook leases, Consumers consumers) {
+        this.leases = leases;
+        this.consumers = consumers;
+    }
+
+    @Override
+    public synchronized void recordChanged(String name, long version, RecordBytes value) {
+        if (version <= versions.getOrDefault(name, 0L)) {
+            return;
+        }
+        try {
+            decode(name, value);
+        } catch (IllegalArgumentException e) {
+            LOG.log(Level.ERROR, "record " + name + " version " + version + " is kept out of force", e);
+            return;
+        }
+        versions.put(name, version);
+        if (isSynchronized && !name.startsWith(RecordNames.BLOCKS_PREFIX)) {
+            apply();
+        }
+    }
+
+    @Override
+    public void platformConfirmed(long heartbeat, Map<String, Long> ownersVersions) {
+        leases.platformConfirmed(heartbeat, ownersVersions);
+        consumers.confirmed(heartbeat);
+    }
+
+    @Override
+    public void successorAcknowledged(String successorHost, long heartbeat) {
+        leases.successorAcknowledged(successorHost, heartbeat);
+    }
+
+    @Override
+    public synchronized void synchronizedWithControl() {
+        isSynchronized = true;
+        apply();
+    }
+
+    @Override
+    public void disconnected() {
+        LOG.log(Level.WARNING, "connection to the control program was lost");
+    }
+
+    private void decode(String name, RecordBytes value) {
+        if (name.equals(RecordNames.TABLE)) {
+            table = RecordCodec.decode(value, AcceptedTable.class);
+        } else if (name.startsWith(RecordNames.HOSTS_PREFIX)) {
+            endpoints.put(name, RecordCodec.decode(value, EndpointList.class));
+        } else if (name.startsWith(RecordNames.OWNERS_PREFIX)) {
+            owners.put(name, RecordCodec.decode(value, OwnersRecord.class));
+        }
+    }
+
+    private void apply() {
+        if (table == null) {
+            return;
+        }
+        Topology topology = new Topology(table.version(), table.table(), endpoints.values(), owners.values());
+        owners.forEach((name, record) -> {
+            long version = versions.get(name);
+            if (version > appliedOwners.getOrDefault(name, 0L)) {
+                leases.ownersChanged(name, version, record, topology);
+                appliedOwners.put(name, version);
+            }
+        });
+        consumers.topology(topology);
+    }
+}
--- a/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
+++ b/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
@@ -1,5 +1,6 @@
 package io.carawaylift.entry;
 
+import io.carawaylift.decisions.Invariant;
 import io.carawaylift.decisions.admission.EndpointHealth;
 import io.carawaylift.entry.AttemptResult.Answered;
 import io.carawaylift.entry.AttemptResult.Refused;
@@ -20,23 +21,32 @@
     private final LeaseBook leases;
     private final OutboundCalls calls;
     private final LongSupplier clock;
-    private final Runnable onViolation;
+    private final DrainTimes drains;
     private final EndpointHealth health = new EndpointHealth();
     private final Map<String, Integer> inFlight = new ConcurrentHashMap<>();
     private volatile Map<String, EndpointSlots> endpoints = Map.of();
 
-    EndpointPool(LeaseBook leases, OutboundCalls calls, LongSupplier clock, Runnable onViolation) {
+    EndpointPool(LeaseBook leases, OutboundCalls calls, LongSupplier clock, DrainTimes drains) {
         this.leases = leases;
         this.calls = calls;
         this.clock = clock;
-        this.onViolation = onViolation;
+        this.drains = drains;
     }
 
-    /** Takes the endpoints that this process owns now. */
+    /** Takes the endpoints that this process owns now; call under the lock of the shard. */
     void endpoints(Iterable<EndpointSlots> owned) {
         Map<String, EndpointSlots> byId = new LinkedHashMap<>();
         owned.forEach(slots -> byId.put(slots.endpoint().id(), slots));
+        long now = clock.getAsLong();
+        endpoints.forEach((id, old) -> {
+            EndpointSlots current = byId.get(id);
+            boolean closed = current == null || current.slots() == 0;
+            if (old.slots() > 0 && closed) {
+                drains.closed(id, inFlight(id) == 0, now);
+            }
+        });
         endpoints = byId;
+        health.retain(byId.keySet());
     }
 
     /** Returns the slots that leases, table and connection limits permit now, whether used or not. */
@@ -86,11 +96,10 @@
     public void release(QueuedJob job, AttemptResult result, boolean complete, long nowNanos) {
         String id = job.target();
         int left = inFlight.merge(id, -1, Integer::sum);
-        if (left < 0) {
-            onViolation.run();
-        }
-        if (left <= 0) {
+        Invariant.check(left >= 0, "requests in flight at an endpoint must not be negative", left);
+        if (left == 0) {
             inFlight.remove(id);
+            drains.idle(id, nowNanos);
         }
         if (result instanceof Answered && complete) {
             health.succeeded(id, nowNanos);
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/EntryMetrics.java
@@ -0,0 +1,84 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.Invariant;
+import io.carawaylift.model.Rank;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+
+/** Meters of the entry program. Thread-safe. */
+final class EntryMetrics {
+    private static final Logger LOG = System.getLogger(EntryMetrics.class.getName());
+    private static final Duration SHORTEST = Duration.ofMillis(1);
+    private static final Duration LONGEST = Duration.ofSeconds(60);
+
+    private final MeterRegistry registry;
+    private final Counter violations;
+    private final Set<String> upstreams = ConcurrentHashMap.newKeySet();
+
+    EntryMetrics(MeterRegistry registry) {
+        this.registry = registry;
+        this.violations = Counter.builder("carawaylift.invariant.violations")
+                .description("assertions inside the program that failed; any is a fault")
+                .register(registry);
+    }
+
+    /** Records a request of a caller. */
+    void request(String service, Rank rank, String outcome, long nanos) {
+        histogram("carawaylift.request.duration")
+                .tag("service", service)
+                .tag("rank", rank.label())
+                .tag("outcome", outcome)
+                .register(registry)
+                .record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Records how long the last requests of an endpoint took that gets no new work. */
+    void drained(String upstream, long nanos) {
+        histogram("carawaylift.drain.duration")
+                .tag("upstream", upstream)
+                .register(registry)
+                .record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Counts bytes sent to another region. */
+    void linkBytes(String toRegion, int bytes) {
+        registry.counter("carawaylift.link.bytes", "to", toRegion).increment(bytes);
+    }
+
+    /** Adds the gauges of an upstream, once. */
+    void upstream(Shards shards, String upstream) {
+        if (!upstreams.add(upstream)) {
+            return;
+        }
+        gauge("carawaylift.in.flight", shards, upstream, load -> load.load().inFlight());
+        gauge("carawaylift.usable.slots", shards, upstream, Shards.UpstreamLoad::usableSlots);
+    }
+
+    /** Counts and logs an exception that no caller handles, see {@link Invariant}. */
+    void violation(String where, Throwable fault) {
+        violations.increment();
+        LOG.log(Level.ERROR, "code 900 in " + where, fault);
+    }
+
+    private void gauge(String name, Shards shards, String upstream, ToDoubleFunction<Shards.UpstreamLoad> value) {
+        Gauge.builder(name, shards, source -> source.load(upstream).map(value::applyAsDouble).orElse(0.0))
+                .tag("upstream", upstream)
+                .register(registry);
+    }
+
+    private static Timer.Builder histogram(String name) {
+        return Timer.builder(name)
+                .publishPercentileHistogram()
+                .minimumExpectedValue(SHORTEST)
+                .maximumExpectedValue(LONGEST);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/EntryService.java
@@ -0,0 +1,182 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberState;
+import io.carawaylift.peer.ControlLink;
+import io.carawaylift.runtime.AdminServer;
+import io.carawaylift.runtime.HostSettings;
+import io.carawaylift.runtime.Service;
+import io.netty.util.HashedWheelTimer;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/** The entry program: wires its parts, starts them and stops them gracefully. */
+final class EntryService implements Service, ControlRecords.Consumers {
+    private static final int DECISIONS_KEPT = 16_384;
+    private static final long TIMER_TICK_MS = 5;
+    private static final long SHARD_TICK_MS = 10;
+    private static final long HEARTBEAT_MS = 1_000;
+
+    private final EntrySettings settings;
+    private final EntryProcess self;
+    private final LongSupplier clock = System::nanoTime;
+    private final HashedWheelTimer timer = new HashedWheelTimer(TIMER_TICK_MS, TimeUnit.MILLISECONDS);
+    private final ScheduledExecutorService ticks = Executors.newScheduledThreadPool(2);
+    private final AdminServer admin;
+    private final EntryMetrics metrics;
+    private final LeaseBook leases;
+    private final LinkPacer pacer;
+    private final OutboundCalls calls;
+    private final Shards shards;
+    private final Steering steering;
+    private final ServerState serverState;
+    private final CallerServer server;
+    private final ControlLink link;
+    private final ControlRecords records;
+    private final JoinTime joinTime = new JoinTime();
+    private volatile MemberState state = MemberState.JOINING;
+    private volatile boolean started;
+
+    /**
+     * Creates the program.
+     *
+     * @param links makes the connection to the control program of the host
+     */
+    EntryService(EntrySettings settings, EntryProcess self, Function<ControlLink.Identity, ControlLink> links) {
+        this.settings = settings;
+        this.self = self;
+        String region = settings.host().region();
+        AtomicReference<AdminPages> pages = new AtomicReference<>();
+        admin = new AdminServer(
+                settings.host().address(), settings.adminPort(), jooby -> AdminPages.addTo(jooby, pages::get));
+        metrics = new EntryMetrics(admin.metrics());
+        leases = new LeaseBook(self, clock);
+        pacer = new LinkPacer(region, clock, timer, metrics);
+        calls = new OutboundCalls(settings.maxCalls(), clock, timer, metrics);
+        shards = new Shards(self, settings, clock, leases, calls, pacer, metrics);
+        steering = new Steering(self, shards, pacer, clock);
+        DecisionLog log = new DecisionLog(DECISIONS_KEPT, settings.slow().toNanos(), metrics);
+        RequestRun.Means means = new RequestRun.Means(steering, shards, timer, clock);
+        RequestRouter router = new RequestRouter(
+                self,
+                new RequestRouter.Parts(
+                        means,
+                        new OnceRequests(self, clock, timer),
+                        new TicketForwarder(shards, timer, clock),
+                        new AnswerDelivery(means, pacer, region),
+                        log,
+                        metrics));
+        serverState = new ServerState(router, clock);
+        server = new CallerServer(settings.host().address(), settings.port(), serverState);
+        pages.set(new AdminPages(
+                self,
+                new AdminPages.Sources(steering, shards, log, () -> state, serverState::inFlight, clock)));
+        link = links.apply(
+                new ControlLink.Identity("entry", self, ProcessHandle.current().pid()));
+        records = new ControlRecords(leases, this);
+    }
+
+    @Override
+    public void start() {
+        server.start();
+        admin.start();
+        Heartbeats heartbeats = new Heartbeats(link, leases, shards, this::member, steering::topology, clock);
+        link.start(records);
+        repeat("heartbeat", heartbeats::send, HEARTBEAT_MS);
+        repeat("link shares", this::updateLinks, HEARTBEAT_MS);
+        repeat("queues", shards::tick, SHARD_TICK_MS);
+        started = true;
+    }
+
+    /** Returns the port that callers use. */
+    int port() {
+        return server.port();
+    }
+
+    @Override
+    public void topology(Topology topology) {
+        pacer.update(topology, leases.isInDoubt(), joinTime.isJoining(clock.getAsLong()));
+        shards.topology(topology);
+        steering.topology(topology);
+        if (state == MemberState.JOINING) {
+            state = MemberState.ACTIVE;
+        }
+    }
+
+    @Override
+    public void confirmed(long heartbeat) {
+        joinTime.confirmed(clock.getAsLong());
+    }
+
+    /**
+     * Serves until callers have stopped using this process and nothing is in flight, then closes everything. Endpoints are
+     * given away meanwhile, because heartbeats say that the process leaves.
+     */
+    @Override
+    public void stop() {
+        if (!started) {
+            return;
+        }
+        state = MemberState.LEAVING;
+        serverState.closeAfterAnswers();
+        new GracefulStop(settings.stopLimit(), clock).await(this::lookupLifetimeMs, this::isServed);
+        server.stop();
+        link.stop();
+        ticks.shutdownNow();
+        calls.stop();
+        timer.stop();
+        admin.stop();
+    }
+
+    private boolean isServed() {
+        Topology topology = steering.topology();
+        boolean ownsNothing = topology == null || !topology.ownsAny(self);
+        return ownsNothing && serverState.inFlight() == 0;
+    }
+
+    private long lookupLifetimeMs() {
+        Topology topology = steering.topology();
+        return topology == null ? 0 : topology.table().lookupLifetimeMs();
+    }
+
+    private Member member() {
+        HostSettings host = settings.host();
+        return new Member(
+                self,
+                host.region(),
+                host.failureDomain(),
+                host.site(),
+                url(server.port()),
+                url(settings.lookupPort()),
+                url(settings.adminPort()),
+                host.address() + ":" + settings.controlPort(),
+                state);
+    }
+
+    private String url(int port) {
+        return "http://" + settings.host().address() + ":" + port;
+    }
+
+    private void updateLinks() {
+        Topology topology = steering.topology();
+        if (topology != null) {
+            pacer.update(topology, leases.isInDoubt(), joinTime.isJoining(clock.getAsLong()));
+        }
+    }
+
+    private void repeat(String name, Runnable task, long intervalMs) {
+        Runnable guarded = () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                metrics.violation(name, e);
+            }
+        };
+        var unused = ticks.scheduleAtFixedRate(guarded, 0, intervalMs, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/Heartbeats.java
@@ -0,0 +1,79 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberReport;
+import io.carawaylift.model.UpstreamMeasure;
+import io.carawaylift.peer.ControlLink;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/** Makes the heartbeat of each second. Used by one thread. */
+final class Heartbeats {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final ControlLink link;
+    private final LeaseBook leases;
+    private final Shards shards;
+    private final Supplier<Member> member;
+    private final Supplier<Topology> topology;
+    private final LongSupplier clock;
+    private final Map<String, Counters> before = new HashMap<>();
+    private long beforeNanos;
+    private long number;
+
+    private record Counters(long dispatched, long refused) {}
+
+    Heartbeats(
+            ControlLink link,
+            LeaseBook leases,
+            Shards shards,
+            Supplier<Member> member,
+            Supplier<Topology> topology,
+            LongSupplier clock) {
+        this.link = link;
+        this.leases = leases;
+        this.shards = shards;
+        this.member = member;
+        this.topology = topology;
+        this.clock = clock;
+        this.beforeNanos = clock.getAsLong();
+    }
+
+    /** Sends the next heartbeat. The lease guard is told before, so that no lease is counted from too late a time. */
+    void send() {
+        number++;
+        MemberReport report = report();
+        leases.heartbeatSent(number);
+        link.sendHeartbeat(report);
+    }
+
+    private MemberReport report() {
+        Topology current = topology.get();
+        long version = current == null ? 0 : current.tableVersion();
+        return new MemberReport(member.get(), number, version, leases.released(shards::inFlight), measures());
+    }
+
+    private List<UpstreamMeasure> measures() {
+        long now = clock.getAsLong();
+        double seconds = Math.max(now - beforeNanos, TimeUnit.MILLISECONDS.toNanos(1)) / NANOS_PER_SECOND;
+        beforeNanos = now;
+        List<UpstreamMeasure> measures = new ArrayList<>();
+        shards.localLoads().forEach((upstream, load) -> {
+            Counters counters = new Counters(load.load().dispatched(), load.load().refused());
+            Counters old = before.getOrDefault(upstream, new Counters(0, 0));
+            before.put(upstream, counters);
+            measures.add(new UpstreamMeasure(
+                    upstream,
+                    load.load().inFlight(),
+                    (counters.dispatched - old.dispatched) / seconds,
+                    (counters.refused - old.refused) / seconds,
+                    load.usableSlots()));
+        });
+        return measures;
+    }
+}
--- a/entry/src/main/java/io/carawaylift/entry/InboundRequest.java
+++ b/entry/src/main/java/io/carawaylift/entry/InboundRequest.java
@@ -42,13 +42,21 @@
 
     /** Returns this request for the rest of a body that broke off after {@code offset} bytes. */
     InboundRequest resumedAt(long offset, String etag) {
-        HeaderList range = headers.with("Range", "bytes=" + offset + "-").with("If-Range", etag);
+        return copy(headers.with("Range", "bytes=" + offset + "-").with("If-Range", etag), attempt);
+    }
+
+    /** Returns this request as another attempt. */
+    InboundRequest asAttempt(int number) {
+        return copy(headers, number);
+    }
+
+    private InboundRequest copy(HeaderList newHeaders, int newAttempt) {
         return new InboundRequest(
                 id,
                 method,
                 service,
                 target,
-                range,
+                newHeaders,
                 body,
                 rank,
                 customer,
@@ -57,6 +65,6 @@
                 repeatable,
                 ticket,
                 hop,
-                attempt);
+                newAttempt);
     }
 }
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/JoinTime.java
@@ -0,0 +1,21 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.decisions.ownership.LeaseTimes;
+
+/** When this process counts as a member for link shares: one lease after the platform first listed it. Thread-safe. */
+final class JoinTime {
+    private boolean listed;
+    private long listedNanos;
+
+    /** Records that the platform holds a heartbeat of this process. */
+    synchronized void confirmed(long nowNanos) {
+        if (!listed) {
+            listed = true;
+            listedNanos = nowNanos;
+        }
+    }
+
+    synchronized boolean isJoining(long nowNanos) {
+        return !listed || nowNanos - listedNanos < LeaseTimes.DEFAULT.lease();
+    }
+}
--- a/entry/src/main/java/io/carawaylift/entry/LeaseBook.java
+++ b/entry/src/main/java/io/carawaylift/entry/LeaseBook.java
@@ -4,10 +4,12 @@
 import io.carawaylift.decisions.ownership.LeaseTimes;
 import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Release;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
 
 /** The lease guard under a lock of its own, which is taken after the lock of a shard and never before. Thread-safe. */
 final class LeaseBook {
@@ -56,9 +58,10 @@
         }
     }
 
-    List<String> releaseRequested() {
+    /** Returns the releases to report, see {@link LeaseGuard#released}. */
+    List<Release> released(ToIntFunction<String> inFlight) {
         synchronized (lock) {
-            return List.copyOf(guard.releaseRequested());
+            return List.copyOf(guard.released(inFlight, clock.getAsLong()));
         }
     }
 
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/NettyResponse.java
@@ -0,0 +1,215 @@
+package io.carawaylift.entry;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import okio.ByteString;
+
+/** Answer on a Netty channel. */
+final class NettyResponse implements CallerResponse {
+    private static final long LONGEST_WAIT_MS = 100;
+
+    private final Channel channel;
+    private final boolean head;
+    private final boolean http10;
+    private final boolean keepAlive;
+    private final Runnable onComplete;
+    private final LongSupplier clock;
+    private Runnable leftAction;
+    private boolean started;
+    private boolean complete;
+    private boolean left;
+
+    /** Creates an answer; {@code onComplete} is called on the channel's thread when it has been written. */
+    NettyResponse(Channel channel, RequestHead request, Runnable onComplete, LongSupplier clock) {
+        this.channel = channel;
+        this.head = request.method().equals("HEAD");
+        this.http10 = request.http10();
+        this.keepAlive = request.keepAlive();
+        this.onComplete = onComplete;
+        this.clock = clock;
+    }
+
+    /** What the answer needs to know of its request. */
+    record RequestHead(String method, boolean http10, boolean keepAlive) {}
+
+    @Override
+    public void send(int status, HeaderList headers, ByteString body, long declaredLength) {
+        if (!start()) {
+            return;
+        }
+        boolean bodyless = head || isBodyless(status);
+        ByteBuf content = bodyless ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body.toByteArray());
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content);
+        addHeaders(response, headers);
+        if (!bodyless) {
+            HttpUtil.setContentLength(response, content.readableBytes());
+        } else if (declaredLength >= 0 && status != HttpResponseStatus.NO_CONTENT.code()) {
+            HttpUtil.setContentLength(response, declaredLength);
+        }
+        end(response);
+    }
+
+    @Override
+    public BodyWriter begin(int status, HeaderList headers, long length, long deadlineNanos) {
+        if (!start()) {
+            return new Writer(clock.getAsLong());
+        }
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        addHeaders(response, headers);
+        if (length >= 0) {
+            HttpUtil.setContentLength(response, length);
+        } else if (!http10) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        channel.writeAndFlush(response, channel.voidPromise());
+        return new Writer(deadlineNanos);
+    }
+
+    @Override
+    public void abort() {
+        // A reset, because a caller that reads until the end of the connection takes a regular close for the end.
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        ignore(channel.close());
+    }
+
+    @Override
+    public void onLeft(Runnable action) {
+        synchronized (this) {
+            if (complete) {
+                return;
+            }
+            if (!left) {
+                leftAction = action;
+                return;
+            }
+        }
+        action.run();
+    }
+
+    /** Notes that the connection was closed. */
+    void channelClosed() {
+        Runnable action;
+        synchronized (this) {
+            left = true;
+            notifyAll();
+            action = complete ? null : leftAction;
+            leftAction = null;
+        }
+        if (action != null) {
+            action.run();
+        }
+    }
+
+    /** Wakes a writer that waits for the caller to read. */
+    synchronized void writabilityChanged() {
+        notifyAll();
+    }
+
+    private synchronized boolean start() {
+        if (started) {
+            throw new IllegalStateException("a request was answered twice");
+        }
+        started = true;
+        return !left;
+    }
+
+    private void addHeaders(HttpResponse response, HeaderList headers) {
+        for (HeaderField field : headers.fields()) {
+            response.headers().add(field.name(), field.value());
+        }
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        } else if (http10) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+        }
+    }
+
+    private void end(Object lastPart) {
+        ignore(channel.writeAndFlush(lastPart).addListener(future -> {
+            synchronized (this) {
+                complete = future.isSuccess();
+                leftAction = complete ? null : leftAction;
+            }
+            onComplete.run();
+            if (!keepAlive || !future.isSuccess()) {
+                ignore(channel.close());
+            }
+        }));
+    }
+
+    private static boolean isBodyless(int status) {
+        return status == HttpResponseStatus.NO_CONTENT.code() || status == HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
+    /** Results of writes are seen by the listener of the last part. */
+    private static void ignore(io.netty.util.concurrent.Future<?> future) {
+        if (future.isDone() && future.cause() != null) {
+            System.getLogger(NettyResponse.class.getName())
+                    .log(System.Logger.Level.DEBUG, "operation on a closed connection", future.cause());
+        }
+    }
+
+    private final class Writer implements BodyWriter {
+        private final long deadlineNanos;
+
+        Writer(long deadlineNanos) {
+            this.deadlineNanos = deadlineNanos;
+        }
+
+        @Override
+        public void write(ByteString bytes) throws IOException {
+            awaitWritable();
+            channel.writeAndFlush(
+                    new DefaultHttpContent(Unpooled.wrappedBuffer(bytes.toByteArray())), channel.voidPromise());
+        }
+
+        @Override
+        public void finish() {
+            end(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+
+        @Override
+        public void abort() {
+            NettyResponse.this.abort();
+        }
+
+        private void awaitWritable() throws IOException {
+            synchronized (NettyResponse.this) {
+                while (!left && !channel.isWritable() && clock.getAsLong() < deadlineNanos) {
+                    waitBriefly();
+                }
+                if (left) {
+                    throw new IOException("the caller left");
+                }
+            }
+            if (clock.getAsLong() >= deadlineNanos) {
+                throw new IOException("the deadline passed before the whole answer was written");
+            }
+        }
+
+        private void waitBriefly() throws IOException {
+            try {
+                TimeUnit.MILLISECONDS.timedWait(NettyResponse.this, LONGEST_WAIT_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException("interrupted while waiting for the caller", e);
+            }
+        }
+    }
+}
--- a/entry/src/main/java/io/carawaylift/entry/NoAttempt.java
+++ b/entry/src/main/java/io/carawaylift/entry/NoAttempt.java
@@ -9,4 +9,9 @@
 
     @Override
     public void cancelWaiting() {}
+
+    @Override
+    public long waitNanos() {
+        return 0;
+    }
 }
--- a/entry/src/main/java/io/carawaylift/entry/OutboundCalls.java
+++ b/entry/src/main/java/io/carawaylift/entry/OutboundCalls.java
@@ -45,7 +45,7 @@
     private final OkHttpClient pooled;
     private final OkHttpClient unpooled;
 
-    OutboundCalls(int maxCalls, LongSupplier clock, HashedWheelTimer timer) {
+    OutboundCalls(int maxCalls, LongSupplier clock, HashedWheelTimer timer, EntryMetrics metrics) {
         this.clock = clock;
         this.timer = timer;
         AtomicInteger number = new AtomicInteger();
@@ -53,6 +53,7 @@
                 0, maxCalls, THREAD_IDLE_SECONDS, TimeUnit.SECONDS, new SynchronousQueue<>(), task -> {
                     Thread thread = new Thread(task, "call-" + number.incrementAndGet());
                     thread.setDaemon(true);
+                    thread.setUncaughtExceptionHandler((where, fault) -> metrics.violation(where.getName(), fault));
                     return thread;
                 });
         pooled = new OkHttpClient.Builder()
--- a/entry/src/main/java/io/carawaylift/entry/QueueShard.java
+++ b/entry/src/main/java/io/carawaylift/entry/QueueShard.java
@@ -194,14 +194,7 @@
         if (result instanceof Answered answer && answer.rest().isPresent()) {
             ObservedBody body = new ObservedBody(answer.rest().get());
             try {
-                job.accept(new Answered(
-                        answer.code(),
-                        answer.status(),
-                        answer.headers(),
-                        answer.declaredLength(),
-                        answer.head(),
-                        Optional.of(body),
-                        answer.endpoint()));
+                job.accept(answer.withRest(body));
             } finally {
                 release(job, result, !body.hasFailed());
             }
@@ -233,6 +226,6 @@
     }
 
     private static Refused refusal(Refusal refusal) {
-        return new Refused(refusal.code(), "", refusal.retryAfterMs());
+        return new Refused(refusal.code(), "", refusal.retryAfterMs(), false);
     }
 }
--- a/entry/src/main/java/io/carawaylift/entry/QueuedJob.java
+++ b/entry/src/main/java/io/carawaylift/entry/QueuedJob.java
@@ -14,7 +14,7 @@
     private OutboundCall call;
     private boolean cancelled;
     private String target = "";
-    private long waitNanos;
+    private volatile long waitNanos;
 
     QueuedJob(long number, InboundRequest request, ResultReceiver receiver, QueueShard shard, long nowNanos) {
         this.request = request;
@@ -61,7 +61,8 @@
         return target;
     }
 
-    long waitNanos() {
+    @Override
+    public long waitNanos() {
         return waitNanos;
     }
 
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/RequestReader.java
@@ -0,0 +1,135 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.Headers;
+import io.carawaylift.model.Rank;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.model.ServiceRow;
+import io.carawaylift.model.Table;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Checks a request against the table. */
+final class RequestReader {
+    private static final int MAX_NAME_LENGTH = 128;
+    private static final int MAX_HOPS = 2;
+
+    private RequestReader() {}
+
+    /**
+     * Reads a request.
+     *
+     * @throws CarawayliftException with the code of the refusal if the request is malformed or its service is unknown
+     */
+    static InboundRequest read(RawRequest raw, String id, Table table, long nowNanos) {
+        int end = endOfService(raw.uri());
+        String name = raw.uri().substring(1, end);
+        ServiceRow service = table.service(name)
+                .orElseThrow(() -> new CarawayliftException(ResultCode.UNKNOWN_SERVICE, "service '" + name + "'"));
+        checkMethod(raw);
+        HeaderList headers = raw.headers();
+        return new InboundRequest(
+                id,
+                raw.method(),
+                name,
+                target(raw.uri().substring(end)),
+                headers.endToEnd(),
+                raw.body(),
+                rank(headers, service),
+                customer(headers),
+                nowNanos,
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMs(headers, service)),
+                service.isRepeatable(raw.method()),
+                headers.first(Headers.TICKET).orElse(""),
+                number(headers, Headers.HOP, 0, MAX_HOPS),
+                Math.max(1, number(headers, Headers.ATTEMPT, 1, Integer.MAX_VALUE)));
+    }
+
+    /** Returns the number of entry processes that the request passed, or 0 if the header is malformed. */
+    static int hop(HeaderList headers) {
+        try {
+            return number(headers, Headers.HOP, 0, MAX_HOPS);
+        } catch (CarawayliftException e) {
+            return 0;
+        }
+    }
+
+    private static int endOfService(String uri) {
+        if (!uri.startsWith("/")) {
+            throw bad("path '" + uri + "' does not start with a slash");
+        }
+        int end = 1;
+        while (end < uri.length() && uri.charAt(end) != '/' && uri.charAt(end) != '?') {
+            end++;
+        }
+        return end;
+    }
+
+    private static String target(String rest) {
+        return rest.startsWith("/") ? rest : "/" + rest;
+    }
+
+    private static void checkMethod(RawRequest raw) {
+        String method = raw.method();
+        if (method.equals("CONNECT") || method.equals("TRACE")) {
+            throw bad("method " + method + " is not forwarded");
+        }
+        boolean bodyless = method.equals("GET") || method.equals("HEAD");
+        if (bodyless && raw.body().size() > 0) {
+            throw bad("method " + method + " with a body");
+        }
+    }
+
+    private static Rank rank(HeaderList headers, ServiceRow service) {
+        Optional<String> label = headers.first(Headers.RANK);
+        if (label.isEmpty()) {
+            return service.rank();
+        }
+        return Rank.ofLabel(label.get()).orElseThrow(() -> bad(Headers.RANK + " '" + label.get() + "' names no rank"));
+    }
+
+    private static String customer(HeaderList headers) {
+        String customer = headers.first(Headers.CUSTOMER).orElse("");
+        if (customer.length() > MAX_NAME_LENGTH) {
+            throw bad(Headers.CUSTOMER + " is longer than " + MAX_NAME_LENGTH + " characters");
+        }
+        return customer;
+    }
+
+    private static long deadlineMs(HeaderList headers, ServiceRow service) {
+        Optional<String> text = headers.first(Headers.DEADLINE_MS);
+        if (text.isEmpty()) {
+            return service.maxDeadlineMs();
+        }
+        long wanted = whole(Headers.DEADLINE_MS, text.get());
+        if (wanted <= 0) {
+            throw new CarawayliftException(ResultCode.DEADLINE_TOO_SHORT, Headers.DEADLINE_MS + " " + wanted);
+        }
+        return Math.min(wanted, service.maxDeadlineMs());
+    }
+
+    private static int number(HeaderList headers, String name, int absent, int most) {
+        Optional<String> text = headers.first(name);
+        if (text.isEmpty()) {
+            return absent;
+        }
+        long value = whole(name, text.get());
+        if (value < 0 || value > most) {
+            throw bad(name + " " + value + " is not from 0 to " + most);
+        }
+        return (int) value;
+    }
+
+    private static long whole(String name, String text) {
+        try {
+            return Long.parseLong(text.strip());
+        } catch (NumberFormatException e) {
+            throw new CarawayliftException(
+                    ResultCode.BAD_REQUEST, name + " '" + text + "' is not a whole number", e);
+        }
+    }
+
+    private static CarawayliftException bad(String detail) {
+        return new CarawayliftException(ResultCode.BAD_REQUEST, detail);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/RequestRun.java
@@ -0,0 +1,249 @@
+package io.carawaylift.entry;
+
+import io.carawaylift.entry.AttemptResult.Answered;
+import io.carawaylift.entry.AttemptResult.Refused;
+import io.carawaylift.entry.AttemptResult.Unknown;
+import io.carawaylift.model.ResultCode;
+import io.netty.util.HashedWheelTimer;
+import io.netty.util.Timeout;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * One request at the entry process that chooses its way: attempts, retries and hedges, until one result stands. The
+ * receiver gets exactly one result. Thread-safe.
+ */
+final class RequestRun {
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final InboundRequest request;
+    private final Means means;
+    private final RequestTrace trace;
+    private final ResultReceiver receiver;
+    private final ServiceShard service;
+
+    private final Set<Route> excluded = new HashSet<>();
+    private final List<Attempt> live = new ArrayList<>();
+    private Unknown unknown;
+    private Timeout hedge;
+    private int started;
+    private boolean finished;
+
+    /** What a run works with. */
+    record Means(Steering steering, Shards shards, HashedWheelTimer timer, LongSupplier clock) {}
+
+    RequestRun(InboundRequest request, Means means, RequestTrace trace, ResultReceiver receiver) {
+        this.request = request;
+        this.means = means;
+        this.trace = trace;
+        this.receiver = receiver;
+        this.service = means.steering().service(request.service());
+    }
+
+    /** Starts the first attempt of a caller's request. */
+    void start() {
+        service.firstAttempt();
+        if (!attempt(false)) {
+            fail(Refused.of(ResultCode.NO_UPSTREAM, "no upstream of service " + request.service() + " is usable"));
+        } else if (request.repeatable()) {
+            scheduleHedge();
+        }
+    }
+
+    /** Starts an attempt that counts as a retry, to fetch the rest of an answer. */
+    void startAsRetry() {
+        if (!attempt(true)) {
+            fail(Refused.of(ResultCode.NO_UPSTREAM, "no upstream or no retry is left"));
+        }
+    }
+
+    /** Cancels all attempts of a repeatable request, because its caller left. */
+    void cancel() {
+        List<Attempt> all;
+        synchronized (this) {
+            finished = true;
+            all = List.copyOf(live);
+            stopHedge();
+        }
+        all.forEach(Attempt::cancel);
+    }
+
+    /** Cancels the attempts that wait in a queue of this process, so that the run ends as not run. */
+    void cancelWaiting() {
+        List<Attempt> all;
+        synchronized (this) {
+            all = List.copyOf(live);
+        }
+        all.forEach(Attempt::cancelWaiting);
+    }
+
+    private boolean attempt(boolean retry) {
+        Optional<Route> route = means.steering().choose(request, tried());
+        if (route.isEmpty() && retry) {
+            route = means.steering().choose(request, refusedRoutes());
+        }
+        if (route.isEmpty() || (retry && !service.tryRetry())) {
+            return false;
+        }
+        Attempt attempt;
+        synchronized (this) {
+            if (finished) {
+                return false;
+            }
+            started++;
+            attempt = new Attempt(route.get(), started);
+            live.add(attempt);
+        }
+        attempt.start();
+        return true;
+    }
+
+    private synchronized Set<Route> refusedRoutes() {
+        return Set.copyOf(excluded);
+    }
+
+    /** Returns the routes that failed or are in use, so that a hedge takes another one if there is any. */
+    private synchronized Set<Route> tried() {
+        Set<Route> routes = new HashSet<>(excluded);
+        live.forEach(attempt -> routes.add(attempt.route));
+        return routes;
+    }
+
+    private void ended(Attempt attempt, AttemptResult result) {
+        trace.attempt(attempt.route, attempt.waitNanos(), result);
+        List<Attempt> losers;
+        synchronized (this) {
+            live.remove(attempt);
+            if (finished) {
+                return;
+            }
+            excluded.add(attempt.route);
+            if (result instanceof Unknown lost) {
+                unknown = lost;
+            }
+            finished = result instanceof Answered;
+            losers = List.copyOf(live);
+        }
+        if (result instanceof Answered) {
+            service.answered(means.clock().getAsLong() - request.receivedNanos());
+            losers.forEach(Attempt::cancel);
+            deliver(result);
+        } else if (!mayRetry(result) || !attempt(true)) {
+            fail(result);
+        }
+    }
+
+    private synchronized boolean mayRetry(AttemptResult result) {
+        if (finished || started >= MAX_ATTEMPTS || means.clock().getAsLong() >= request.deadlineNanos()) {
+            return false;
+        }
+        return switch (result.code()) {
+            case QUEUE_FULL,
+                    DISPLACED,
+                    DEADLINE_TOO_SHORT,
+                    UPSTREAM_REFUSED,
+                    CONNECT_FAILED,
+                    NOT_OWNER,
+                    NO_UPSTREAM,
+                    NO_TABLE,
+                    STOPPING -> true;
+            case CONNECTION_LOST, ANSWER_CUT -> request.repeatable();
+            default -> false;
+        };
+    }
+
+    /** Ends the run unless another attempt is still under way. A run with one unknown attempt never ends as not run. */
+    private void fail(AttemptResult result) {
+        AttemptResult last;
+        synchronized (this) {
+            if (finished || !live.isEmpty()) {
+                return;
+            }
+            finished = true;
+            last = unknown == null ? result : unknown;
+        }
+        deliver(last);
+    }
+
+    private void deliver(AttemptResult result) {
+        synchronized (this) {
+            stopHedge();
+        }
+        receiver.accept(result);
+    }
+
+    private synchronized void scheduleHedge() {
+        if (!finished) {
+            hedge = means.timer()
+                    .newTimeout(timeout -> hedge(), service.hedgeDelayNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void hedge() {
+        synchronized (this) {
+            if (finished || live.size() != 1 || started >= MAX_ATTEMPTS) {
+                return;
+            }
+        }
+        attempt(true);
+    }
+
+    private synchronized void stopHedge() {
+        if (hedge != null) {
+            hedge.cancel();
+        }
+    }
+
+    /** One attempt on one route. */
+    private final class Attempt {
+        private final Route route;
+        private final int number;
+        private RunningAttempt running = NoAttempt.INSTANCE;
+        private boolean cancelled;
+
+        Attempt(Route route, int number) {
+            this.route = route;
+            this.number = number;
+        }
+
+        void start() {
+            int sent = Math.max(number, request.attempt());
+            RunningAttempt submitted =
+                    means.shards().send(route, request.asAttempt(sent), result -> ended(this, result));
+            boolean cancelNow;
+            synchronized (this) {
+                running = submitted;
+                cancelNow = cancelled;
+            }
+            if (cancelNow) {
+                submitted.cancel();
+            }
+        }
+
+        void cancel() {
+            RunningAttempt current;
+            synchronized (this) {
+                cancelled = true;
+                current = running;
+            }
+            current.cancel();
+        }
+
+        void cancelWaiting() {
+            RunningAttempt current;
+            synchronized (this) {
+                current = running;
+            }
+            current.cancelWaiting();
+        }
+
+        synchronized long waitNanos() {
+            return running.waitNanos();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/carawaylift/entry/ServerState.java
@@ -0,0 +1,101 @@
+package io.carawaylift.entry;
+
+import io.netty.channel.Channel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+
+/** What the connections of the server share. Thread-safe. */
+final class ServerState {
+    /** Largest request body, in bytes. */
+    static final int MAX_BODY_BYTES = 1024 * 1024;
+
+    /** Request bodies in memory at a time; without a bound a flood of uploads would end the process. */
+    private static final long MAX_BODIES_BYTES = 128L * 1024 * 1024;
+
+    private final Handlers handlers;
+    private final LongSupplier clock;
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicLong bodyBytes = new AtomicLong();
+    private volatile boolean closing;
+
+    /** Why a request is not handed over. */
+    enum Fault {
+        MALFORMED,
+        BODY_TOO_LARGE,
+        NO_MEMORY
+    }
+
+    /** Answers the requests of all connections. */
+    interface Handlers extends RequestHandler {
+        /** Refuses a request whose body was not read. */
+        void refuse(RawRequest request, CallerResponse response, Fault fault);
+    }
+
+    ServerState(Handlers handlers, LongSupplier clock) {
+        this.handlers = handlers;
+        this.clock = clock;
+    }
+
+    LongSupplier clock() {
+        return clock;
+    }
+
+    void connected(Channel channel) {
+        connections.add(channel);
+    }
+
+    void disconnected(Channel channel) {
+        connections.remove(channel);
+    }
+
+    void handle(RawRequest request, CallerResponse response) {
+        handlers.handle(request, response);
+    }
+
+    void refuse(RawRequest request, CallerResponse response, Fault fault) {
+        handlers.refuse(request, response, fault);
+    }
+
+    void started() {
+        inFlight.incrementAndGet();
+    }
+
+    void ended() {
+        inFlight.decrementAndGet();
+    }
+
+    /** Returns the number of requests whose answers are not complete. */
+    int inFlight() {
+        return inFlight.get();
+    }
+
+    boolean reserve(int bytes) {
+        if (bodyBytes.addAndGet(bytes) <= MAX_BODIES_BYTES) {
+            return true;
+        }
+        bodyBytes.addAndGet(-bytes);
+        return false;
+    }
+
+    void release(long bytes) {
+        bodyBytes.addAndGet(-bytes);
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    /** Lets every connection close after its present or next answer. */
+    void closeAfterAnswers() {
+        closing = true;
+    }
+
+    void closeAll() {
+        connections.close().awaitUninterruptibly();
+    }
+}
--- a/entry/src/main/java/io/carawaylift/entry/Shards.java
+++ b/entry/src/main/java/io/carawaylift/entry/Shards.java
@@ -35,7 +35,7 @@
     private final LeaseBook leases;
     private final OutboundCalls calls;
     private final LinkPacer pacer;
-    private final Runnable onViolation;
+    private final EntryMetrics metrics;
     private final Map<String, Local> local = new ConcurrentHashMap<>();
     private final Map<Route, Remote> remote = new ConcurrentHashMap<>();
     private volatile Topology topology;
@@ -51,7 +51,7 @@
             LeaseBook leases,
             OutboundCalls calls,
             LinkPacer pacer,
-            Runnable onViolation) {
+            EntryMetrics metrics) {
         this.self = self;
         this.region = settings.host().region();
         this.capacity = settings.queueCapacity();
@@ -59,7 +59,7 @@
         this.leases = leases;
         this.calls = calls;
         this.pacer = pacer;
-        this.onViolation = onViolation;
+        this.metrics = metrics;
     }
 
     /** Takes a new topology into all shards. */
@@ -72,7 +72,8 @@
             }
         }
         local.forEach((upstream, shard) -> {
-            shard.pool.endpoints(current.endpointsOwnedBy(self, upstream));
+            List<EndpointSlots> owned = current.endpointsOwnedBy(self, upstream);
+            shard.shard.change(() -> shard.pool.endpoints(owned));
             shard.shard.floors(current.floors());
         });
         remote.forEach((route, shard) -> {
@@ -135,21 +136,24 @@
     /** Returns the load of the upstreams that this process owns endpoints of, by name. */
     Map<String, UpstreamLoad> localLoads() {
         Map<String, UpstreamLoad> loads = new TreeMap<>();
-        long now = clock.getAsLong();
-        local.forEach((upstream, shard) ->
-                loads.put(upstream, new UpstreamLoad(shard.shard.load(), shard.pool.permitted(now))));
+        local.keySet().forEach(upstream -> load(upstream).ifPresent(load -> loads.put(upstream, load)));
         return loads;
     }
 
+    /** Returns the load of an upstream, or empty if this process never owned an endpoint of it. */
+    Optional<UpstreamLoad> load(String upstream) {
+        return Optional.ofNullable(local.get(upstream))
+                .map(shard -> new UpstreamLoad(shard.shard.load(), shard.pool.permitted(clock.getAsLong())));
+    }
+
     /** Load of one upstream at this process with the slots that it may use now. */
     record UpstreamLoad(QueueShard.Load load, int usableSlots) {}
 
-    /** Returns the endpoints that are to be released and at which nothing is in flight. */
-    List<String> released() {
-        return leases.releaseRequested().stream()
-                .filter(endpoint ->
-                        local.values().stream().allMatch(shard -> shard.pool.inFlight(endpoint) == 0))
-                .toList();
+    /** Returns how many requests of this process are in flight at an endpoint. */
+    int inFlight(String endpoint) {
+        return local.values().stream()
+                .mapToInt(shard -> shard.pool.inFlight(endpoint))
+                .sum();
     }
 
     private RunningAttempt forward(Route route, InboundRequest request, ResultReceiver receiver) {
@@ -174,7 +178,9 @@
     }
 
     private Local createLocal(String upstream) {
-        EndpointPool pool = new EndpointPool(leases, calls, clock, onViolation);
+        metrics.upstream(this, upstream);
+        DrainTimes drains = new DrainTimes(nanos -> metrics.drained(upstream, nanos));
+        EndpointPool pool = new EndpointPool(leases, calls, clock, drains);
         return new Local(pool, new QueueShard(capacity, topology.floors(), pool, clock));
     }
 
