--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/address/Ipv4.java
@@ -0,0 +1,73 @@
+package io.carawaylift.decisions.address;
+
+/** Reads IPv4 addresses and prefixes in decimal notation. */
+final class Ipv4 {
+    static final int BITS = 32;
+    private static final int PARTS = 4;
+    private static final int PART_MAX = 255;
+
+    private Ipv4() {}
+
+    /**
+     * Returns an address as 32 bits.
+     *
+     * @throws IllegalArgumentException if {@code text} is not an IPv4 address
+     */
+    static int address(String text) {
+        return address(text, text.length());
+    }
+
+    /** Returns the length of the prefix after the slash. */
+    static int length(String prefix) {
+        int slash = prefix.indexOf('/');
+        int length = slash < 0 ? -1 : number(prefix, slash + 1, prefix.length(), BITS);
+        if (length < 0) {
+            throw new IllegalArgumentException("not an IPv4 prefix: " + prefix);
+        }
+        return length;
+    }
+
+    /** Returns the address of the prefix; its bits after the length must be 0. */
+    static int network(String prefix, int length) {
+        int address = address(prefix, prefix.indexOf('/'));
+        if ((address & ~mask(length)) != 0) {
+            throw new IllegalArgumentException("bits after the prefix length must be 0: " + prefix);
+        }
+        return address;
+    }
+
+    static int mask(int length) {
+        return length == 0 ? 0 : -1 << (BITS - length);
+    }
+
+    private static int address(String text, int end) {
+        int address = 0;
+        int start = 0;
+        for (int part = 0; part < PARTS; part++) {
+            int dot = part == PARTS - 1 ? end : text.indexOf('.', start);
+            int value = dot < 0 || dot > end ? -1 : number(text, start, dot, PART_MAX);
+            if (value < 0) {
+                throw new IllegalArgumentException("not an IPv4 address: " + text);
+            }
+            address = address << 8 | value;
+            start = dot + 1;
+        }
+        return address;
+    }
+
+    /** Returns the decimal number in a part of the text, or -1 if it is none or exceeds {@code max}. */
+    private static int number(String text, int start, int end, int max) {
+        if (end <= start || end - start > 3) {
+            return -1;
+        }
+        int value = 0;
+        for (int i = start; i < end; i++) {
+            char digit = text.charAt(i);
+            if (digit < '0' || digit > '9') {
+                return -1;
+            }
+            value = value * 10 + (digit - '0');
+        }
+        return value <= max ? value : -1;
+    }
+}
--- a/decisions/src/main/java/io/carawaylift/decisions/admission/AdmissionQueue.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/AdmissionQueue.java
@@ -186,7 +186,7 @@
         if (passed > 0) {
             latestNanos = nowNanos;
             for (RankState<T> state : ranks.values()) {
-                state.advance(passed, limit);
+                state.advance((double) passed, limit);
             }
         }
         return latestNanos;
@@ -211,7 +211,7 @@
     }
 
     private Offer<T> refusal(ResultCode code, double waitNanos) {
-        long retryAfterMs = Math.max(1, (long) (waitNanos / NANOS_PER_MS));
+        long retryAfterMs = Math.max(1, (long) (waitNanos / (double) NANOS_PER_MS));
         return new Offer<>(Optional.of(new Refusal(code, retryAfterMs)), Optional.empty());
     }
 
