Implement replica store, members, lease guard, planner and takeover

Cause: the bodies of the declared API were missing. Ruled out: clearing a release request within an epoch, because a stale release could then be taken for a new one; a request is redirected, at last to the owner itself, which then gets a new epoch. Ruled out: epochs counted per entry, because a removed and recreated entry would start again; an epoch is the version of the record that introduces it. Before: UnsupportedOperationException.

--- a/decisions/src/main/java/io/carawaylift/decisions/membership/DomainMembers.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/membership/DomainMembers.java
@@ -6,82 +6,171 @@
 import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.Member;
 import io.carawaylift.model.MemberReport;
+import io.carawaylift.model.MemberState;
 import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Ownership;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * What one control program knows about the members of its region: newest heartbeats, liveness and ended processes. Times are
  * monotonic nanoseconds of one clock. Not thread-safe.
  *
- * <p>A member is live for one lease after its heartbeat number was last seen to rise, directly or in a record
- * {@code domain/}.
+ * <p>A member is live for one lease after it was last heard of: its heartbeat arrived, its number rose in a record
+ * {@code domain/}, or its control program answered. A member known from a record only counts as live until this control
+ * program expects to hear from it: from then on it has one lease.
  */
 public final class DomainMembers {
+    private static final int AGENTS = 2;
+
+    private final String region;
+    private final LeaseTimes times;
+    private final Map<String, MemberView> byHost = new TreeMap<>();
+    private final Map<String, OwnersRecord> owners = new HashMap<>();
+    private final EndedProcesses ended = new EndedProcesses();
+    private final Set<String> failureDomains = new TreeSet<>();
+
     /** Creates the view of a control program in {@code failureDomain} of {@code region}, which knows no member yet. */
     public DomainMembers(String failureDomain, String region, LeaseTimes times) {
-        throw new UnsupportedOperationException();
+        this.region = region;
+        this.times = times;
+        failureDomains.add(failureDomain);
     }
 
     /** Takes a heartbeat of a member of this region; one of another region or an older one is ignored. */
     public void heartbeatReceived(MemberReport report, long nowNanos) {
-        throw new UnsupportedOperationException();
+        if (isOfRegion(report.member()) && isNewest(report.member())) {
+            MemberView view = byHost.get(report.member().process().host());
+            if (view == null) {
+                view = MemberView.heard(report, nowNanos);
+                byHost.put(report.member().process().host(), view);
+            }
+            view.update(report, nowNanos);
+        }
+    }
+
+    /** Records that the control program of a host answered, so its entry process can be reached through it. */
+    public void heardFrom(String host, long nowNanos) {
+        MemberView view = byHost.get(host);
+        if (view != null) {
+            view.heard(nowNanos);
+        }
+    }
+
+    /** Records that this control program sends heartbeats to a host and expects answers from now on. */
+    public void answerExpected(String host, long nowNanos) {
+        MemberView view = byHost.get(host);
+        if (view != null) {
+            view.expect(nowNanos);
+        }
     }
 
     /** Merges a record {@code domain/} of this region as read from the platform. */
     public void domainRead(DomainRecord record, long nowNanos) {
-        throw new UnsupportedOperationException();
+        failureDomains.add(record.failureDomain());
+        record.ended().forEach(process -> ended.add(record.failureDomain(), process));
+        record.members().forEach(report -> heartbeatReceived(report, nowNanos));
+        expectAll(record.failureDomain(), nowNanos);
+        dropEnded();
     }
 
-    /** Takes the members that a record {@code owners/} names; a member not heard of counts as live for one lease. */
+    /** Takes the members that a record {@code owners/} names; a member not heard of counts as live. */
     public void ownersRead(OwnersRecord record, long nowNanos) {
-        throw new UnsupportedOperationException();
+        failureDomains.add(record.failureDomain());
+        OwnersRecord before = owners.put(record.failureDomain(), record);
+        for (Member member : record.members()) {
+            if (isOfRegion(member) && isNewest(member)) {
+                takeListed(before, member);
+            }
+        }
     }
 
     /** Records that the control program of the process's host saw its process id disappear. */
     public void processEnded(String failureDomain, EntryProcess process) {
-        throw new UnsupportedOperationException();
+        ended.add(failureDomain, process);
+        dropEnded();
     }
 
     /** Returns the host that reports for a failure domain; empty if the region has no live member. */
     public Optional<String> reporter(String failureDomain, long nowNanos) {
-        throw new UnsupportedOperationException();
+        List<Member> all = live(nowNanos);
+        return all.stream()
+                .filter(member -> member.failureDomain().equals(failureDomain))
+                .findFirst()
+                .or(() -> all.stream().findFirst())
+                .map(member -> member.process().host());
     }
 
     /** Returns the at most two live hosts with the lowest ids of a failure domain, which hold its watches. */
     public List<String> agents(String failureDomain, long nowNanos) {
-        throw new UnsupportedOperationException();
+        return live(nowNanos).stream()
+                .filter(member -> member.failureDomain().equals(failureDomain))
+                .limit(AGENTS)
+                .map(member -> member.process().host())
+                .toList();
     }
 
-    /** Returns the record that {@code reporter} writes for a failure domain. */
+    /**
+     * Returns the record that {@code reporter} writes for a failure domain. The version on which the write is conditional
+     * must have been merged with {@link #domainRead} before, so that no heartbeat number goes back.
+     */
     public DomainRecord toWrite(String failureDomain, String reporter, long nowNanos) {
-        throw new UnsupportedOperationException();
+        expectAll(failureDomain, nowNanos);
+        List<MemberReport> reports = new ArrayList<>();
+        for (MemberView view : viewsOf(failureDomain, nowNanos)) {
+            MemberReport report = view.report();
+            reports.add(new MemberReport(
+                    stated(view, nowNanos),
+                    report.heartbeat(),
+                    report.tableVersion(),
+                    report.released(),
+                    report.measures()));
+        }
+        return new DomainRecord(failureDomain, reporter, reports, ended.toWrite(failureDomain, namedProcesses()));
     }
 
     /** Returns the failure domains of the region that have or had members. */
     public List<String> failureDomains() {
-        throw new UnsupportedOperationException();
+        return List.copyOf(failureDomains);
     }
 
     /** Returns the members of a failure domain that are not ended, by host id; a member that is not live is SUSPECTED. */
     public List<Member> members(String failureDomain, long nowNanos) {
-        throw new UnsupportedOperationException();
+        return viewsOf(failureDomain, nowNanos).stream()
+                .map(view -> stated(view, nowNanos))
+                .toList();
     }
 
     /** Returns the live members of the whole region, by host id. */
     public List<Member> live(long nowNanos) {
-        throw new UnsupportedOperationException();
+        return byHost.values().stream()
+                .filter(view -> view.isLive(nowNanos, times.lease()))
+                .map(view -> stated(view, nowNanos))
+                .toList();
     }
 
     /** Returns the newest report of a process, empty if it is not the newest of its host or unknown. */
     public Optional<MemberReport> report(EntryProcess process) {
-        throw new UnsupportedOperationException();
+        return Optional.ofNullable(byHost.get(process.host()))
+                .map(MemberView::report)
+                .filter(report -> report.member().process().equals(process));
     }
 
     /** Returns whether the process is listed as ended or a newer incarnation of its host has reported. */
     public boolean hasEnded(EntryProcess process) {
-        throw new UnsupportedOperationException();
+        if (ended.contains(process)) {
+            return true;
+        }
+        MemberView view = byHost.get(process.host());
+        return view != null && view.member().process().incarnation() > process.incarnation();
     }
 
     /**
@@ -90,6 +179,98 @@
      * {@link io.carawaylift.decisions.ownership.OwnershipPlanner#plan}.
      */
     public boolean isGone(EntryProcess process, Collection<EndpointList> lists) {
-        throw new UnsupportedOperationException();
+        return hasEnded(process) || isHostGone(process.host(), lists);
+    }
+
+    /** Returns whether a host is missing from the region's lists; false if the list of its failure domain is missing. */
+    public boolean isHostGone(String host, Collection<EndpointList> lists) {
+        if (lists.stream().anyMatch(list -> list.entryHosts().contains(host))) {
+            return false;
+        }
+        MemberView view = byHost.get(host);
+        Set<String> listed = new HashSet<>();
+        lists.forEach(list -> listed.add(list.failureDomain()));
+        return view == null
+                ? listed.containsAll(failureDomains)
+                : listed.contains(view.member().failureDomain());
+    }
+
+    private void takeListed(OwnersRecord before, Member member) {
+        MemberView view = byHost.get(member.process().host());
+        if (view == null) {
+            byHost.put(
+                    member.process().host(), MemberView.assumed(new MemberReport(member, 0, 0, List.of(), List.of())));
+        } else if (before != null) {
+            before.members().stream()
+                    .filter(old -> old.process().equals(member.process()))
+                    .forEach(old -> view.restateAs(old.state(), member.state()));
+        }
+    }
+
+    /** Returns whether no newer process of the host is known; a known older one has ended then and is dropped. */
+    private boolean isNewest(Member member) {
+        EntryProcess process = member.process();
+        MemberView view = byHost.get(process.host());
+        if (ended.contains(process)) {
+            return false;
+        }
+        if (view == null || view.member().process().equals(process)) {
+            return true;
+        }
+        EntryProcess known = view.member().process();
+        if (known.incarnation() > process.incarnation()) {
+            return false;
+        }
+        ended.add(view.member().failureDomain(), known);
+        byHost.remove(process.host());
+        return true;
+    }
+
+    private void dropEnded() {
+        byHost.values().removeIf(view -> ended.contains(view.member().process()));
+    }
+
+    private void expectAll(String failureDomain, long nowNanos) {
+        byHost.values().stream()
+                .filter(view -> view.member().failureDomain().equals(failureDomain))
+                .forEach(view -> view.expect(nowNanos));
+    }
+
+    /** Returns the views of live members and of members that the failure domain's ownership record still names. */
+    private List<MemberView> viewsOf(String failureDomain, long nowNanos) {
+        OwnersRecord record = owners.get(failureDomain);
+        return byHost.values().stream()
+                .filter(view -> view.member().failureDomain().equals(failureDomain))
+                .filter(view -> view.isLive(nowNanos, times.lease()) || isListed(record, view))
+                .toList();
+    }
+
+    private static boolean isListed(OwnersRecord record, MemberView view) {
+        return record != null
+                && record.members().stream()
+                        .anyMatch(
+                                member -> member.process().equals(view.member().process()));
+    }
+
+    private Member stated(MemberView view, long nowNanos) {
+        Member member = view.member();
+        return view.isLive(nowNanos, times.lease()) ? member : member.withState(MemberState.SUSPECTED);
+    }
+
+    private Set<EntryProcess> namedProcesses() {
+        Set<EntryProcess> named = new HashSet<>();
+        for (OwnersRecord record : owners.values()) {
+            record.members().forEach(member -> named.add(member.process()));
+            for (Ownership ownership : record.endpoints()) {
+                named.add(ownership.owner());
+                named.add(ownership.previous());
+                named.add(ownership.next());
+            }
+        }
+        return named;
+    }
+
+    private boolean isOfRegion(Member member) {
+        return member.region().equals(region);
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/membership/MemberView.java
@@ -0,0 +1,76 @@
+package io.carawaylift.decisions.membership;
+
+import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberReport;
+import io.carawaylift.model.MemberState;
+
+/** What is known of the newest entry process of one host. */
+final class MemberView {
+    private MemberReport report;
+    /** When the process was last heard of; only meaningful unless {@link #assumedLive}. */
+    private long heardNanos;
+    /** Whether the process is known from a record only and nobody has waited for a word of it yet. */
+    private boolean assumedLive;
+
+    private MemberView(MemberReport report, long heardNanos, boolean assumedLive) {
+        this.report = report;
+        this.heardNanos = heardNanos;
+        this.assumedLive = assumedLive;
+    }
+
+    static MemberView heard(MemberReport report, long nowNanos) {
+        return new MemberView(report, nowNanos, false);
+    }
+
+    static MemberView assumed(MemberReport report) {
+        return new MemberView(report, 0, true);
+    }
+
+    MemberReport report() {
+        return report;
+    }
+
+    Member member() {
+        return report.member();
+    }
+
+    /** Takes a report of the same process if its heartbeat number is higher. */
+    void update(MemberReport newer, long nowNanos) {
+        if (newer.heartbeat() > report.heartbeat()) {
+            report = newer;
+            heard(nowNanos);
+        }
+    }
+
+    void heard(long nowNanos) {
+        heardNanos = nowNanos;
+        assumedLive = false;
+    }
+
+    /** Starts to wait for a word of the process. */
+    void expect(long nowNanos) {
+        if (assumedLive) {
+            heard(nowNanos);
+        }
+    }
+
+    /** Takes the state in a record {@code owners/}; a process that is no longer suspected there is live again. */
+    void restateAs(MemberState before, MemberState now) {
+        if (before == MemberState.SUSPECTED && now != MemberState.SUSPECTED) {
+            assumedLive = true;
+            report = new MemberReport(
+                    member().withState(now),
+                    report.heartbeat(),
+                    report.tableVersion(),
+                    report.released(),
+                    report.measures());
+        }
+    }
+
+    boolean isLive(long nowNanos, long leaseNanos) {
+        if (assumedLive) {
+            return member().state() != MemberState.SUSPECTED;
+        }
+        return nowNanos - heardNanos < leaseNanos;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/HeartbeatWatch.java
@@ -0,0 +1,40 @@
+package io.carawaylift.decisions.ownership;
+
+import io.carawaylift.model.EntryProcess;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** Tells for how long the heartbeat number of each process in {@code domain/} has been seen unchanged. */
+final class HeartbeatWatch {
+    /**
+     * Reads with the same number.
+     *
+     * @param firstFinishedNanos when the first answer arrived
+     * @param lastStartedNanos when the newest read was sent
+     */
+    private record Unchanged(long heartbeat, long firstFinishedNanos, long lastStartedNanos) {}
+
+    private final Map<EntryProcess, Unchanged> processes = new HashMap<>();
+
+    void read(EntryProcess process, long heartbeat, long startedNanos, long finishedNanos) {
+        Unchanged before = processes.get(process);
+        if (before == null || before.heartbeat() != heartbeat) {
+            processes.put(process, new Unchanged(heartbeat, finishedNanos, startedNanos));
+        } else {
+            long lastStarted = Math.max(before.lastStartedNanos(), startedNanos);
+            processes.put(process, new Unchanged(heartbeat, before.firstFinishedNanos(), lastStarted));
+        }
+    }
+
+    /** Returns whether two reads at least so far apart, and none since, saw the same number. */
+    boolean isUnchangedFor(EntryProcess process, long nanos) {
+        Unchanged unchanged = processes.get(process);
+        return unchanged != null && unchanged.lastStartedNanos() - unchanged.firstFinishedNanos() >= nanos;
+    }
+
+    /** Forgets processes that are not in {@code kept}. */
+    void retain(Set<EntryProcess> kept) {
+        processes.keySet().retainAll(kept);
+    }
+}
--- a/decisions/src/main/java/io/carawaylift/decisions/ownership/LeaseGuard.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/LeaseGuard.java
@@ -1,10 +1,17 @@
 package io.carawaylift.decisions.ownership;
 
+import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Ownership;
 import io.carawaylift.model.Release;
+import io.carawaylift.model.ResultCode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToIntFunction;
 import java.util.function.ToLongFunction;
 
@@ -13,14 +20,27 @@
  * thread-safe.
  */
 public final class LeaseGuard {
+    private final EntryProcess self;
+    private final LeaseTimes times;
+    private final SentHeartbeats sent = new SentHeartbeats();
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Map<String, HeldEndpoint> held = new HashMap<>();
+    /** Endpoints whose present owner waits for this process, with their epoch, by record name. */
+    private final Map<String, List<Release>> lost = new HashMap<>();
+    /** Send time of the newest heartbeat that the platform confirmed, by record name. */
+    private final Map<String, Long> confirmedNanos = new HashMap<>();
+    /** Send time of the newest heartbeat that a successor acknowledged, by host. */
+    private final Map<String, Long> acknowledgedNanos = new HashMap<>();
+
     /** Creates the guard of {@code self}, which owns nothing yet. */
     public LeaseGuard(EntryProcess self, LeaseTimes times) {
-        throw new UnsupportedOperationException();
+        this.self = self;
+        this.times = times;
     }
 
     /** Records when heartbeat {@code number} was sent; numbers rise by one. */
     public void heartbeatSent(long number, long nowNanos) {
-        throw new UnsupportedOperationException();
+        sent.add(number, nowNanos);
     }
 
     /**
@@ -29,12 +49,18 @@
      * @param ownersVersions versions of the records {@code owners/} read after the write, by record name
      */
     public void platformConfirmed(long heartbeat, Map<String, Long> ownersVersions) {
-        throw new UnsupportedOperationException();
+        sent.sentAt(heartbeat)
+                .ifPresent(nanos -> ownersVersions.forEach((name, version) -> {
+                    // A record that this process does not know yet may name another owner.
+                    if (versions.getOrDefault(name, 0L) >= version) {
+                        confirmedNanos.merge(name, nanos, Math::max);
+                    }
+                }));
     }
 
     /** Records that the control program of {@code host} promised not to take over for one lease. */
     public void successorAcknowledged(String host, long heartbeat) {
-        throw new UnsupportedOperationException();
+        sent.sentAt(heartbeat).ifPresent(nanos -> acknowledgedNanos.merge(host, nanos, Math::max));
     }
 
     /**
@@ -45,12 +71,30 @@
      */
     public void ownersChanged(
             String name, long version, OwnersRecord record, ToLongFunction<String> holdNanos, long nowNanos) {
-        throw new UnsupportedOperationException();
+        if (version <= versions.getOrDefault(name, 0L)) {
+            return;
+        }
+        versions.put(name, version);
+        Set<String> named = new HashSet<>();
+        List<Release> waitedFor = new ArrayList<>();
+        for (Ownership ownership : record.endpoints()) {
+            if (ownership.owner().equals(self)) {
+                named.add(ownership.endpoint());
+                hold(name, ownership, holdNanos.applyAsLong(ownership.endpoint()), nowNanos);
+            } else if (self.equals(ownership.previous())) {
+                waitedFor.add(new Release(ownership.endpoint(), ownership.epoch()));
+            }
+        }
+        lost.put(name, waitedFor);
+        held.values()
+                .removeIf(endpoint -> endpoint.recordName().equals(name)
+                        && !named.contains(endpoint.ownership().endpoint()));
     }
 
     /** Returns how many of {@code allotted} slots this process may use now; running work counts against them. */
     public int permittedSlots(String endpoint, int allotted, long nowNanos) {
-        throw new UnsupportedOperationException();
+        HeldEndpoint found = held.get(endpoint);
+        return found == null ? 0 : found.permittedSlots(allotted, isRenewed(found, nowNanos), nowNanos);
     }
 
     /**
@@ -58,7 +102,14 @@
      * took them over and waits for the word that nothing of this one is in flight.
      */
     public List<String> releaseRequested() {
-        throw new UnsupportedOperationException();
+        List<String> requested = new ArrayList<>();
+        for (HeldEndpoint endpoint : held.values()) {
+            if (endpoint.isReleaseRequested()) {
+                requested.add(endpoint.ownership().endpoint());
+            }
+        }
+        lost.values().forEach(releases -> releases.forEach(release -> requested.add(release.endpoint())));
+        return requested;
     }
 
     /**
@@ -68,11 +119,47 @@
      * @param inFlight requests of this process in flight, by endpoint id
      */
     public List<Release> released(ToIntFunction<String> inFlight, long nowNanos) {
-        throw new UnsupportedOperationException();
+        List<Release> releases = new ArrayList<>();
+        for (HeldEndpoint endpoint : held.values()) {
+            if (endpoint.isReleaseRequested() && !endpoint.isWaiting(nowNanos)) {
+                Ownership ownership = endpoint.ownership();
+                releases.add(new Release(ownership.endpoint(), ownership.epoch()));
+            }
+        }
+        lost.values().forEach(releases::addAll);
+        releases.removeIf(release -> inFlight.applyAsInt(release.endpoint()) > 0);
+        return releases;
     }
 
     /** Returns whether no heartbeat of the last lease was confirmed by the platform or by any successor. */
     public boolean isInDoubt(long nowNanos) {
-        throw new UnsupportedOperationException();
+        return confirmedNanos.values().stream().noneMatch(nanos -> isWithinLease(nanos, nowNanos))
+                && acknowledgedNanos.values().stream().noneMatch(nanos -> isWithinLease(nanos, nowNanos));
+    }
+
+    private void hold(String name, Ownership ownership, long holdNanos, long nowNanos) {
+        HeldEndpoint known = held.get(ownership.endpoint());
+        if (known != null && known.ownership().epoch() > ownership.epoch()) {
+            throw new CarawayliftException(
+                    ResultCode.INVARIANT_VIOLATED,
+                    "epoch of endpoint " + ownership.endpoint() + " went back to " + ownership.epoch());
+        }
+        if (known != null && known.ownership().epoch() == ownership.epoch()) {
+            known.update(ownership, holdNanos, nowNanos);
+        } else {
+            held.put(ownership.endpoint(), new HeldEndpoint(name, ownership, holdNanos, times, nowNanos));
+        }
+    }
+
+    private boolean isRenewed(HeldEndpoint endpoint, long nowNanos) {
+        Long confirmed = confirmedNanos.get(endpoint.recordName());
+        String successor = endpoint.ownership().successor();
+        Long acknowledged = successor == null ? null : acknowledgedNanos.get(successor);
+        return (confirmed != null && isWithinLease(confirmed, nowNanos))
+                || (acknowledged != null && isWithinLease(acknowledged, nowNanos));
+    }
+
+    private boolean isWithinLease(long sentNanos, long nowNanos) {
+        return nowNanos - sentNanos < times.lease();
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/OwnersRules.java
@@ -0,0 +1,56 @@
+package io.carawaylift.decisions.ownership;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Ownership;
+import io.carawaylift.model.OwnershipMode;
+import io.carawaylift.model.ResultCode;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Checks a record {@code owners/} against the one it replaces before it is written. */
+final class OwnersRules {
+    private OwnersRules() {}
+
+    /**
+     * Fails with INVARIANT_VIOLATED if the update breaks a rule.
+     *
+     * @param before null if there is no record yet
+     */
+    static void check(OwnersRecord before, OwnersRecord after) {
+        Map<String, Ownership> known = new HashMap<>();
+        if (before != null) {
+            before.endpoints().forEach(entry -> known.put(entry.endpoint(), entry));
+        }
+        Map<String, Ownership> seen = new HashMap<>();
+        for (Ownership entry : after.endpoints()) {
+            require(seen.put(entry.endpoint(), entry) == null, "named twice", entry);
+            checkEntry(entry);
+            if (known.containsKey(entry.endpoint())) {
+                checkChange(known.get(entry.endpoint()), entry);
+            }
+        }
+    }
+
+    private static void checkEntry(Ownership entry) {
+        require(!entry.owner().host().equals(entry.successor()), "owned by its successor", entry);
+        require((entry.mode() == OwnershipMode.HALF) == (entry.previous() != null), "mode without reason", entry);
+        require(!entry.owner().equals(entry.previous()), "previous owner is the owner", entry);
+    }
+
+    private static void checkChange(Ownership from, Ownership to) {
+        EntryProcess owner = to.owner();
+        require(to.epoch() >= from.epoch(), "epoch went back", to);
+        require(owner.equals(from.owner()) || to.epoch() > from.epoch(), "another owner in the same epoch", to);
+        boolean sameEpoch = to.epoch() == from.epoch();
+        require(!sameEpoch || from.next() == null || to.next() != null, "release request withdrawn", to);
+        require(!sameEpoch || from.mode() == to.mode() || to.mode() == OwnershipMode.FULL, "mode reduced", to);
+    }
+
+    private static void require(boolean condition, String problem, Ownership entry) {
+        if (!condition) {
+            throw new CarawayliftException(ResultCode.INVARIANT_VIOLATED, problem + ": " + entry);
+        }
+    }
+}
--- a/decisions/src/main/java/io/carawaylift/decisions/ownership/OwnershipPlanner.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/OwnershipPlanner.java
@@ -2,9 +2,18 @@
 
 import io.carawaylift.decisions.membership.DomainMembers;
 import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.Member;
 import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Ownership;
+import io.carawaylift.model.RecordNames;
 import io.carawaylift.model.Table;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -14,9 +23,18 @@
  * <p>Every process that runs as reporter has one; its memory only delays, so a new planner is as safe as an old one.
  */
 public final class OwnershipPlanner {
+    private record EpochSeen(long epoch, long sinceNanos) {}
+
+    private final String failureDomain;
+    private final String region;
+    private final LeaseTimes times;
+    private final Map<String, EpochSeen> epochs = new HashMap<>();
+
     /** Creates the planner of a failure domain. */
     public OwnershipPlanner(String failureDomain, String region, LeaseTimes times) {
-        throw new UnsupportedOperationException();
+        this.failureDomain = failureDomain;
+        this.region = region;
+        this.times = times;
     }
 
     /**
@@ -38,6 +56,51 @@
             DomainMembers members,
             Table table,
             long nowNanos) {
-        throw new UnsupportedOperationException();
+        Optional<EndpointList> own = lists.stream()
+                .filter(list -> list.failureDomain().equals(failureDomain))
+                .findFirst();
+        if (own.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Ownership> before = current == null ? List.of() : current.endpoints();
+        before.forEach(entry -> see(entry, nowNanos));
+        PlanView view = new PlanView(failureDomain, own.get(), lists, members, nowNanos);
+        EndpointPlan plan = new EndpointPlan(view, version + 1, entry -> isSettled(entry, own.get(), table, nowNanos));
+        List<Member> planned = plannedMembers(current, view);
+        OwnersRecord next = new OwnersRecord(failureDomain, region, planned, plan.endpoints(before));
+        if (next.equals(current) || (current == null && next.members().isEmpty())) {
+            return Optional.empty();
+        }
+        OwnersRules.check(current, next);
+        return Optional.of(new OwnersWrite(RecordNames.owners(failureDomain), version, next));
+    }
+
+    private void see(Ownership entry, long nowNanos) {
+        EpochSeen known = epochs.get(entry.endpoint());
+        if (known == null || known.epoch() != entry.epoch()) {
+            epochs.put(entry.endpoint(), new EpochSeen(entry.epoch(), nowNanos));
+        }
+    }
+
+    /**
+     * Returns whether nothing of an owner between {@code previous} and the present one can be left. Such an owner had half of the
+     * slots, and none in doubt, but it is not named in the entry any more; this planner waits as long as its lease and its
+     * work can last.
+     */
+    private boolean isSettled(Ownership entry, EndpointList list, Table table, long nowNanos) {
+        long wait = times.lease() + times.margin() + HoldTimes.nanos(entry.endpoint(), list, table);
+        return nowNanos - epochs.get(entry.endpoint()).sinceNanos() >= wait;
+    }
+
+    private List<Member> plannedMembers(OwnersRecord current, PlanView view) {
+        Map<EntryProcess, Member> planned = new HashMap<>();
+        if (current != null) {
+            current.members().forEach(member -> planned.put(member.process(), member));
+        }
+        view.members().forEach(member -> planned.put(member.process(), member));
+        List<Member> result = new ArrayList<>(planned.values());
+        result.removeIf(member -> view.isGone(member.process()) || !view.isListed(member));
+        result.sort(Comparator.comparing(member -> member.process().host()));
+        return result;
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/ownership/TakeoverPolicy.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/TakeoverPolicy.java
@@ -3,9 +3,19 @@
 import io.carawaylift.model.DomainRecord;
 import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberReport;
+import io.carawaylift.model.MemberState;
 import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Ownership;
+import io.carawaylift.model.OwnershipMode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 /**
@@ -16,9 +26,18 @@
  * program: the entry program's wait after a takeover assumes that acknowledgements have ended by then.
  */
 public final class TakeoverPolicy {
+    private final String host;
+    private final LeaseTimes times;
+    private final long startNanos;
+    private final Map<String, KnownOwners> records = new TreeMap<>();
+    private final Map<EntryProcess, Long> heardNanos = new HashMap<>();
+    private final HeartbeatWatch numbers = new HeartbeatWatch();
+
     /** Creates the policy of a control program that started at {@code startNanos}; {@code host} is its own host id. */
     public TakeoverPolicy(String host, LeaseTimes times, long startNanos) {
-        throw new UnsupportedOperationException();
+        this.host = host;
+        this.times = times;
+        this.startNanos = startNanos;
     }
 
     /**
@@ -28,7 +47,10 @@
      *     is acknowledged for a record before its first such read
      */
     public void ownersRead(String name, long version, OwnersRecord record, boolean fromPlatform, long nowNanos) {
-        throw new UnsupportedOperationException();
+        records.computeIfAbsent(name, absent -> new KnownOwners(host)).take(version, record, fromPlatform, nowNanos);
+        Set<EntryProcess> owners = watchedOwners();
+        heardNanos.keySet().retainAll(owners);
+        numbers.retain(owners);
     }
 
     /**
@@ -38,7 +60,16 @@
      * @param finishedNanos when the answer arrived
      */
     public void domainRead(DomainRecord record, long startedNanos, long finishedNanos) {
-        throw new UnsupportedOperationException();
+        Map<EntryProcess, Long> heartbeats = new HashMap<>();
+        for (MemberReport report : record.members()) {
+            heartbeats.put(report.member().process(), report.heartbeat());
+        }
+        Set<EntryProcess> members = membersOf(record.failureDomain());
+        for (EntryProcess owner : watchedOwners()) {
+            if (members.contains(owner) || heartbeats.containsKey(owner)) {
+                numbers.read(owner, heartbeats.getOrDefault(owner, 0L), startedNanos, finishedNanos);
+            }
+        }
     }
 
     /**
@@ -46,19 +77,44 @@
      * host is no successor of the process or must not promise now.
      */
     public Optional<Acknowledgement> heartbeatReceived(EntryProcess owner, long heartbeat, long nowNanos) {
-        throw new UnsupportedOperationException();
+        if (records.values().stream().noneMatch(known -> known.isSuccessorOf(owner))) {
+            return Optional.empty();
+        }
+        heardNanos.put(owner, nowNanos);
+        if (records.values().stream().anyMatch(KnownOwners::isUnresolved)) {
+            return Optional.empty();
+        }
+        Map<String, Long> versions = new HashMap<>();
+        records.forEach((name, known) -> {
+            if (known.isSettled()) {
+                versions.put(name, known.version());
+            }
+        });
+        return Optional.of(new Acknowledgement(host, owner, heartbeat, versions));
     }
 
     /**
      * Returns the conditional updates to send now, at most one per record: takeovers, resignations of a leaving host, and
-     * rewrites that settle an earlier update whose answer was lost. Each counts as unresolved from now on.
+     * rewrites that settle an earlier update whose answer was lost. Each counts as unresolved from now on. To be called once per
+     * heartbeat interval.
      *
      * @param self entry process of this host with its state, null if it is not running
      * @param live live members of the region, candidates for successor
      * @param gone whether a process is confirmed gone
      */
     public List<OwnersWrite> writesDue(Member self, List<Member> live, Predicate<EntryProcess> gone, long nowNanos) {
-        throw new UnsupportedOperationException();
+        List<OwnersWrite> writes = new ArrayList<>();
+        records.forEach((name, known) -> {
+            if (known.hasBeenReadFromPlatform()) {
+                OwnersRecord wanted = wanted(known, self, live, gone, nowNanos);
+                if (known.isUnresolved() || !wanted.equals(known.record())) {
+                    OwnersRules.check(known.record(), wanted);
+                    known.updateSent();
+                    writes.add(new OwnersWrite(name, known.version(), wanted));
+                }
+            }
+        });
+        return writes;
     }
 
     /**
@@ -67,11 +123,118 @@
      * unresolved and is repeated by {@link #writesDue}.
      */
     public void writeAccepted(OwnersWrite write, long newVersion, long nowNanos) {
-        throw new UnsupportedOperationException();
+        ownersRead(write.name(), newVersion, write.record(), true, nowNanos);
     }
 
     /** Returns whether an update of this record is unresolved. */
     public boolean isUnresolved(String name) {
-        throw new UnsupportedOperationException();
+        KnownOwners known = records.get(name);
+        return known != null && known.isUnresolved();
+    }
+
+    private OwnersRecord wanted(
+            KnownOwners known, Member self, List<Member> live, Predicate<EntryProcess> gone, long nowNanos) {
+        OwnersRecord record = known.record();
+        SuccessorChoice choice = new SuccessorChoice(live);
+        record.endpoints().forEach(entry -> choice.count(entry.successor()));
+        List<Ownership> endpoints = new ArrayList<>();
+        for (Ownership entry : record.endpoints()) {
+            if (!host.equals(entry.successor())) {
+                endpoints.add(entry);
+            } else if (self != null && isTakeoverDue(known, entry, self, nowNanos)) {
+                endpoints.add(takenOver(known, entry, self, choice, gone));
+            } else {
+                endpoints.add(resignedIfWanted(entry, self, live, choice));
+            }
+        }
+        return new OwnersRecord(record.failureDomain(), record.region(), record.members(), endpoints);
+    }
+
+    private boolean isTakeoverDue(KnownOwners known, Ownership entry, Member self, long nowNanos) {
+        long silence = times.lease() + times.margin();
+        Long heard = heardNanos.get(entry.owner());
+        return self.state() == MemberState.ACTIVE
+                && nowNanos - startNanos >= silence
+                && known.isSuccessorFor(entry, silence, nowNanos)
+                && (heard == null || nowNanos - heard >= silence)
+                && numbers.isUnchangedFor(entry.owner(), silence);
+    }
+
+    private Ownership takenOver(
+            KnownOwners known, Ownership entry, Member self, SuccessorChoice choice, Predicate<EntryProcess> gone) {
+        EntryProcess previous = previousAfter(entry, self.process(), gone);
+        List<String> excluded = new ArrayList<>(List.of(host, entry.owner().host()));
+        return new Ownership(
+                entry.endpoint(),
+                self.process(),
+                choice.choose(self.failureDomain(), excluded),
+                known.version() + 1,
+                previous == null ? OwnershipMode.FULL : OwnershipMode.HALF,
+                true,
+                previous,
+                null);
+    }
+
+    /**
+     * Returns the process that may still use half of the slots. If the owner itself had only half because of an earlier
+     * owner, it has none in doubt, and the earlier owner remains the one to wait for.
+     */
+    private static EntryProcess previousAfter(Ownership entry, EntryProcess self, Predicate<EntryProcess> gone) {
+        if (entry.mode() == OwnershipMode.HALF && !entry.previous().equals(self)) {
+            return entry.previous();
+        }
+        if (entry.mode() == OwnershipMode.FULL && gone.test(entry.owner())) {
+            return null;
+        }
+        return entry.owner();
+    }
+
+    /** Gives the role to another host if this one leaves or would fail together with the owner. */
+    private Ownership resignedIfWanted(Ownership entry, Member self, List<Member> live, SuccessorChoice choice) {
+        if (self == null) {
+            return entry;
+        }
+        List<String> excluded = List.of(host, entry.owner().host());
+        String ownerDomain = domainOf(entry.owner(), live);
+        boolean leaves = self.state() == MemberState.LEAVING;
+        boolean failsTogether = self.failureDomain().equals(ownerDomain) && choice.hasOutside(ownerDomain, excluded);
+        if (!leaves && !failsTogether) {
+            return entry;
+        }
+        return new Ownership(
+                entry.endpoint(),
+                entry.owner(),
+                choice.choose(ownerDomain, excluded),
+                entry.epoch(),
+                entry.mode(),
+                entry.takenOver(),
+                entry.previous(),
+                entry.next());
+    }
+
+    private static String domainOf(EntryProcess process, List<Member> live) {
+        return live.stream()
+                .filter(member -> member.process().equals(process))
+                .map(Member::failureDomain)
+                .findFirst()
+                .orElse(null);
+    }
+
+    private Set<EntryProcess> watchedOwners() {
+        Set<EntryProcess> owners = new HashSet<>();
+        records.values().forEach(known -> known.addOwners(owners));
+        return owners;
+    }
+
+    private Set<EntryProcess> membersOf(String failureDomain) {
+        Set<EntryProcess> members = new HashSet<>();
+        for (KnownOwners known : records.values()) {
+            for (Member member : known.record().members()) {
+                if (member.failureDomain().equals(failureDomain)) {
+                    members.add(member.process());
+                }
+            }
+        }
+        return members;
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/replica/RecordDelta.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/replica/RecordDelta.java
@@ -1,6 +1,7 @@
 package io.carawaylift.decisions.replica;
 
 import io.carawaylift.model.RecordBytes;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -27,16 +28,45 @@
     }
 
     public RecordDelta {
+        if (toVersion <= fromVersion) {
+            throw new IllegalArgumentException("delta from version " + fromVersion + " to older " + toVersion);
+        }
         edits = List.copyOf(edits);
     }
 
     /** Returns the delta from one version to a newer one. */
     public static RecordDelta between(ReplicaStore.Entry from, ReplicaStore.Entry to) {
-        throw new UnsupportedOperationException();
+        List<Edit> edits = LineDiff.between(lines(from.value()), lines(to.value()));
+        return new RecordDelta(
+                from.version(), to.version(), Digest64.of(to.value().toArray()), edits);
     }
 
     /** Returns the result, or empty if {@code base} is another version or the digest of the result differs. */
     public Optional<RecordBytes> apply(ReplicaStore.Entry base) {
-        throw new UnsupportedOperationException();
+        if (base.version() != fromVersion) {
+            return Optional.empty();
+        }
+        return edited(lines(base.value()))
+                .map(lines -> RecordBytes.of(String.join("\n", lines)))
+                .filter(result -> Digest64.of(result.toArray()) == resultDigest);
+    }
+
+    private Optional<List<String>> edited(List<String> old) {
+        List<String> result = new ArrayList<>(old.size());
+        int copied = 0;
+        for (Edit edit : edits) {
+            if (edit.line() < copied || edit.removed() < 0 || edit.line() > old.size() - edit.removed()) {
+                return Optional.empty();
+            }
+            result.addAll(old.subList(copied, edit.line()));
+            result.addAll(edit.added());
+            copied = edit.line() + edit.removed();
+        }
+        result.addAll(old.subList(copied, old.size()));
+        return Optional.of(result);
+    }
+
+    private static List<String> lines(RecordBytes value) {
+        return List.of(value.text().split("\n", -1));
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/replica/ReplicaStore.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/replica/ReplicaStore.java
@@ -1,8 +1,13 @@
 package io.carawaylift.decisions.replica;
 
+import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.ResultCode;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
 /** The newest known version of each record. Thread-safe. */
@@ -12,43 +17,96 @@
      *
      * @param version version in the platform, rises with every change of the record
      */
-    public record Entry(long version, RecordBytes value) {}
+    public record Entry(long version, RecordBytes value) {
+        public Entry {
+            Objects.requireNonNull(value, "value");
+        }
+    }
+
+    private final Map<String, Entry> entries = new HashMap<>();
+    private long digest;
 
-    /** Keeps the value if its version is newer than the known one; returns whether it was. */
-    public boolean offer(String name, long version, RecordBytes value) {
-        throw new UnsupportedOperationException();
+    /**
+     * Keeps the value if its version is newer than the known one; returns whether it was.
+     *
+     * @throws CarawayliftException with INVARIANT_VIOLATED if the known version has another value
+     */
+    public synchronized boolean offer(String name, long version, RecordBytes value) {
+        Entry known = entries.get(name);
+        if (known != null && known.version() >= version) {
+            checkSame(name, known, version, value);
+            return false;
+        }
+        if (known != null) {
+            digest -= Digest64.of(name, known.version());
+        }
+        // A sum rather than an exclusive or: both can be undone when a version is replaced.
+        digest += Digest64.of(name, version);
+        entries.put(name, new Entry(version, value));
+        return true;
     }
 
     /** Returns the newest known version of a record. */
-    public Optional<Entry> read(String name) {
-        throw new UnsupportedOperationException();
+    public synchronized Optional<Entry> read(String name) {
+        return Optional.ofNullable(entries.get(name));
     }
 
     /** Returns a 64-bit digest of all names and versions; equal stores have equal digests. */
-    public long digest() {
-        throw new UnsupportedOperationException();
+    public synchronized long digest() {
+        return digest;
     }
 
     /** Returns all names with their versions. */
-    public Map<String, Long> versions() {
-        throw new UnsupportedOperationException();
+    public synchronized Map<String, Long> versions() {
+        Map<String, Long> versions = new HashMap<>();
+        entries.forEach((name, entry) -> versions.put(name, entry.version()));
+        return versions;
     }
 
     /**
      * Applies a delta to the known version; returns whether the store now holds {@code delta.toVersion()} or a newer
      * version. If not, the whole record is to be pulled.
      */
-    public boolean offer(String name, RecordDelta delta) {
-        throw new UnsupportedOperationException();
+    public synchronized boolean offer(String name, RecordDelta delta) {
+        Entry known = entries.get(name);
+        if (known == null) {
+            return false;
+        }
+        if (known.version() >= delta.toVersion()) {
+            return true;
+        }
+        Optional<RecordBytes> result = delta.apply(known);
+        result.ifPresent(value -> offer(name, delta.toVersion(), value));
+        return result.isPresent();
     }
 
     /** Returns the records of which a peer with these versions has an older version or none. */
-    public Map<String, Entry> lackingAt(Map<String, Long> peerVersions) {
-        throw new UnsupportedOperationException();
+    public synchronized Map<String, Entry> lackingAt(Map<String, Long> peerVersions) {
+        Map<String, Entry> lacking = new HashMap<>();
+        entries.forEach((name, entry) -> {
+            if (entry.version() > peerVersions.getOrDefault(name, 0L)) {
+                lacking.put(name, entry);
+            }
+        });
+        return lacking;
     }
 
     /** Returns the names of which a peer with these versions has a newer version than this store. */
-    public List<String> newerAt(Map<String, Long> peerVersions) {
-        throw new UnsupportedOperationException();
+    public synchronized List<String> newerAt(Map<String, Long> peerVersions) {
+        List<String> newer = new ArrayList<>();
+        peerVersions.forEach((name, version) -> {
+            Entry known = entries.get(name);
+            if (known == null || known.version() < version) {
+                newer.add(name);
+            }
+        });
+        return newer;
+    }
+
+    private static void checkSame(String name, Entry known, long version, RecordBytes value) {
+        if (known.version() == version && !known.value().equals(value)) {
+            throw new CarawayliftException(
+                    ResultCode.INVARIANT_VIOLATED, "two values of version " + version + " of record " + name);
+        }
     }
 }
