--- /dev/null
+++ b/peer/src/main/java/io/carawaylift/peer/MessageType.java
@@ -0,0 +1,52 @@
+package io.carawaylift.peer;
+
+/** Numbers of the message types on the wire. A number is never given to another type. */
+enum MessageType {
+    HELLO(1, Message.Hello.class),
+    PING(2, Message.Ping.class),
+    HEARTBEAT(3, Message.Heartbeat.class),
+    HEARTBEAT_CONFIRMED(4, Message.HeartbeatConfirmed.class),
+    HEARTBEAT_ACKNOWLEDGED(5, Message.HeartbeatAcknowledged.class),
+    PROCESS_ENDED(6, Message.ProcessEnded.class),
+    RECORD_VALUE(7, Message.RecordValue.class),
+    RECORD_DELTA(8, Message.RecordDelta.class),
+    RECORDS_COMPLETE(9, Message.RecordsComplete.class),
+    STORE_DIGEST(10, Message.StoreDigest.class),
+    STORE_VERSIONS(11, Message.StoreVersions.class),
+    RECORD_REQUEST(12, Message.RecordRequest.class);
+
+    private final int number;
+    private final Class<? extends Message> messageClass;
+
+    MessageType(int number, Class<? extends Message> messageClass) {
+        this.number = number;
+        this.messageClass = messageClass;
+    }
+
+    int number() {
+        return number;
+    }
+
+    Class<? extends Message> messageClass() {
+        return messageClass;
+    }
+
+    static MessageType of(Message message) {
+        for (MessageType type : values()) {
+            if (type.messageClass.isInstance(message)) {
+                return type;
+            }
+        }
+        throw new IllegalArgumentException("no number for message type " + message.getClass());
+    }
+
+    /** Returns the type, or null if the number is unknown, so that newer programs can add messages. */
+    static MessageType ofNumber(int number) {
+        for (MessageType type : values()) {
+            if (type.number == number) {
+                return type;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -0,0 +1,65 @@
+package io.carawaylift.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberReport;
+import io.carawaylift.model.MemberState;
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.UpstreamMeasure;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against a message type without a number or with a field that is lost on the wire. */
+final class MessageCodecTest {
+    private static final EntryProcess PROCESS = new EntryProcess("h1", 1_790_000_000_000L);
+
+    static Stream<Message> messages() {
+        Member member = new Member(PROCESS, "r", "r-a", "s", "http://e", "http://l", "127.0.0.1:1", MemberState.ACTIVE);
+        MemberReport report =
+                new MemberReport(member, 9, 4, List.of("e1"), List.of(new UpstreamMeasure("u", 1, 2.5, 0, 3)));
+        return Stream.of(
+                new Message.Hello("control", "h1", "r", "r-a", "127.0.0.1:1", null, 77),
+                new Message.Hello("entry", "h1", null, null, null, PROCESS, 78),
+                new Message.Ping(),
+                new Message.Heartbeat(report),
+                new Message.HeartbeatConfirmed(PROCESS, 9, Map.of("owners/r-a", 5L)),
+                new Message.HeartbeatAcknowledged(PROCESS, "h2", 9),
+                new Message.ProcessEnded(PROCESS),
+                new Message.RecordValue("table", 3, RecordBytes.of("{}")),
+                new Message.RecordDelta("table", 3, 4, -1, RecordBytes.of("x")),
+                new Message.RecordsComplete(),
+                new Message.StoreDigest(-5, true),
+                new Message.StoreVersions(Map.of("table", 3L), true, false),
+                new Message.RecordRequest(List.of("table")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void everyMessageReadsBackEqual(Message message) {
+        assertThat(MessageCodec.decode(MessageCodec.encode(message))).hasValue(message);
+    }
+
+    @Test
+    void everyPermittedMessageIsTested() {
+        assertThat(messages().map(Message::getClass).distinct().count())
+                .isEqualTo(Message.class.getPermittedSubclasses().length);
+    }
+
+    @Test
+    void anUnknownTypeIsSkippedSoThatNewerProgramsCanAddMessages() {
+        assertThat(MessageCodec.decode(new byte[] {99, 1, 2})).isEmpty();
+    }
+
+    @Test
+    void garbageFailsWithAResultCode() {
+        assertThrows(CarawayliftException.class, () -> MessageCodec.decode(new byte[] {3, (byte) 0xc1}));
+    }
+}
