Carry owners versions in acknowledgements and line edits in deltas

Cause: an acknowledgement counts only at an owner that knows at least the successor's owners/ records, and deltas are edits of lines. Before: neither field. After: both on the wire, covered by the codec test. Ruled out: an opaque byte array for deltas, which hides their form.

--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -47,8 +47,18 @@
         }
     }
 
-    /** The control program of {@code successorHost} promises not to take over for one lease. */
-    record HeartbeatAcknowledged(EntryProcess process, String successorHost, long heartbeat) implements Message {}
+    /**
+     * The control program of {@code successorHost} promises not to take over for one lease.
+     *
+     * @param ownersVersions versions of the {@code owners/} records known to the successor, by record name
+     */
+    record HeartbeatAcknowledged(
+            EntryProcess process, String successorHost, long heartbeat, Map<String, Long> ownersVersions)
+            implements Message {
+        public HeartbeatAcknowledged {
+            ownersVersions = Map.copyOf(ownersVersions);
+        }
+    }
 
     /** The process id of an entry process is gone on its own host. */
     record ProcessEnded(EntryProcess process) implements Message {}
@@ -60,10 +70,25 @@
      * A record as the lines that differ from an older version.
      *
      * @param resultDigest digest of the newer value
-     * @param delta encoded line delta
+     * @param edits changes in ascending order of lines of the older value
      */
-    record RecordDelta(String name, long fromVersion, long toVersion, long resultDigest, RecordBytes delta)
-            implements Message {}
+    record RecordDelta(String name, long fromVersion, long toVersion, long resultDigest, List<LineEdit> edits)
+            implements Message {
+        public RecordDelta {
+            edits = List.copyOf(edits);
+        }
+    }
+
+    /**
+     * Replaces lines of a record.
+     *
+     * @param line index of the first replaced line in the older value, from 0
+     */
+    record LineEdit(int line, int removed, List<String> added) {
+        public LineEdit {
+            added = List.copyOf(added);
+        }
+    }
 
     /** All records known to the sender have been sent, and it has learned them from the platform or a peer. */
     record RecordsComplete() implements Message {}
--- a/peer/src/test/java/io/carawaylift/peer/ControlLinksTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/ControlLinksTest.java
@@ -61,7 +61,7 @@
         connection.send(new Message.RecordValue("table", 3, RecordBytes.of("abc")));
         connection.send(new Message.RecordsComplete());
         connection.send(new Message.HeartbeatConfirmed(PROCESS, 8, Map.of("owners/r-a", 2L)));
-        connection.send(new Message.HeartbeatAcknowledged(PROCESS, "h2", 9));
+        connection.send(new Message.HeartbeatAcknowledged(PROCESS, "h2", 9, Map.of()));
         connection.close();
 
         assertThat(next(events)).isEqualTo("table 3 abc");
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -9,6 +9,7 @@
 import io.carawaylift.model.MemberReport;
 import io.carawaylift.model.MemberState;
 import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.Release;
 import io.carawaylift.model.UpstreamMeasure;
 import java.util.List;
 import java.util.Map;
@@ -23,18 +24,18 @@
 
     static Stream<Message> messages() {
         Member member = new Member(PROCESS, "r", "r-a", "s", "http://e", "http://l", "127.0.0.1:1", MemberState.ACTIVE);
-        MemberReport report =
-                new MemberReport(member, 9, 4, List.of("e1"), List.of(new UpstreamMeasure("u", 1, 2.5, 0, 3)));
+        MemberReport report = new MemberReport(
+                member, 9, 4, List.of(new Release("e1", 3)), List.of(new UpstreamMeasure("u", 1, 2.5, 0, 3)));
         return Stream.of(
                 new Message.Hello("control", "h1", "r", "r-a", "127.0.0.1:1", null, 77),
                 new Message.Hello("entry", "h1", null, null, null, PROCESS, 78),
                 new Message.Ping(),
                 new Message.Heartbeat(report),
                 new Message.HeartbeatConfirmed(PROCESS, 9, Map.of("owners/r-a", 5L)),
-                new Message.HeartbeatAcknowledged(PROCESS, "h2", 9),
+                new Message.HeartbeatAcknowledged(PROCESS, "h2", 9, Map.of()),
                 new Message.ProcessEnded(PROCESS),
                 new Message.RecordValue("table", 3, RecordBytes.of("{}")),
-                new Message.RecordDelta("table", 3, 4, -1, RecordBytes.of("x")),
+                new Message.RecordDelta("table", 3, 4, -1, List.of(new Message.LineEdit(2, 1, List.of("x", "")))),
                 new Message.RecordsComplete(),
                 new Message.StoreDigest(-5, true),
                 new Message.StoreVersions(Map.of("table", 3L), true, false),
