--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/measure/Simulation.java
@@ -0,0 +1,74 @@
+package io.carawaylift.testing.measure;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Event loop in virtual time over one policy. */
+final class Simulation {
+    private final PriorityQueue<Completion> completions =
+            new PriorityQueue<>(Comparator.comparingLong(Completion::atNanos)
+                    .thenComparingLong(done -> done.request().id()));
+    private final Policy policy;
+    private final Traffic traffic;
+    private final Observed observed;
+    private final int[] inFlight;
+    private long nowNanos;
+
+    Simulation(Size size, Policy policy, Traffic traffic, Observed observed) {
+        this.policy = policy;
+        this.traffic = traffic;
+        this.observed = observed;
+        inFlight = new int[size.endpoints()];
+    }
+
+    /** Runs all requests to their end. */
+    void run() {
+        Request next = traffic.next();
+        while (next != null || !completions.isEmpty()) {
+            boolean completes = !completions.isEmpty()
+                    && (next == null || completions.peek().atNanos() <= next.arrivalNanos());
+            if (completes) {
+                complete(completions.poll());
+            } else {
+                nowNanos = next.arrivalNanos();
+                observed.offered(next);
+                policy.arrived(next, this);
+                next = traffic.next();
+            }
+            observed.waiting(policy.waiting(), nowNanos);
+        }
+    }
+
+    long nowNanos() {
+        return nowNanos;
+    }
+
+    int inFlight(int endpoint) {
+        return inFlight[endpoint];
+    }
+
+    /** Counts a request as sent to an endpoint. */
+    void send(int endpoint) {
+        inFlight[endpoint]++;
+        observed.inFlight(inFlight[endpoint]);
+    }
+
+    /** Lets a request that was sent occupy a slot of its endpoint until its service time is over. */
+    void execute(Request request, int endpoint) {
+        completions.add(new Completion(request, endpoint, nowNanos + request.serviceNanos()));
+    }
+
+    /** Undoes {@link #send} for a request that the endpoint refused. */
+    void returned(int endpoint) {
+        inFlight[endpoint]--;
+    }
+
+    private void complete(Completion done) {
+        nowNanos = done.atNanos();
+        inFlight[done.endpoint()]--;
+        observed.finished(done.request(), nowNanos);
+        policy.finished(done.request(), done.endpoint(), this);
+    }
+
+    private record Completion(Request request, int endpoint, long atNanos) {}
+}
