Count outstanding work of at least the request's rank when choosing an owner

Cause: with the sum over all ranks, an owner that refuses deferrable work looks least loaded and draws all urgent work. Ruled out: the rank order in the queue; urgent work was first wherever it arrived. The model now also keeps one view per entry process.

--- a/decisions/src/main/java/io/carawaylift/decisions/steering/OwnerSelector.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/steering/OwnerSelector.java
@@ -17,7 +17,9 @@
      * An owner as the choosing process sees it.
      *
      * @param slots slots of the upstream that the owner may use
-     * @param outstanding requests that the choosing process has sent to it and that are not finished
+     * @param outstanding requests that the choosing process has sent to it and that are not finished; during a flood only
+     *     those of the request's rank and higher ranks should count, because an owner that refuses lower ranks looks idle
+     *     by the sum and would draw all requests of higher ranks
      */
     public record Candidate(EntryProcess process, int slots, int outstanding) {}
 
--- a/testing/src/main/java/io/carawaylift/testing/measure/OwnerQueues.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/OwnerQueues.java
@@ -19,22 +19,29 @@
  */
 final class OwnerQueues implements Policy {
     private static final int CAPACITY = 512;
+    private static final List<Rank> RANKS = List.of(Rank.values());
 
     private final OwnerSelector selector = new OwnerSelector();
-    private final List<AdmissionQueue<Request>> queues = new ArrayList<>();
+    private final List<AdmissionQueue<Sent>> queues = new ArrayList<>();
     private final List<List<Integer>> endpoints = new ArrayList<>();
-    private final Map<Long, Work<Request>> running = new HashMap<>();
+    private final Map<Long, Work<Sent>> running = new HashMap<>();
+    private final List<EntryProcess> owners = new ArrayList<>();
+    /** Unfinished requests by entry process, owner and rank. */
+    private final int[][][] outstanding;
+
     private final Size size;
 
     OwnerQueues(Size size) {
         this.size = size;
+        outstanding = new int[size.hosts()][size.hosts()][RANKS.size()];
         for (int host = 0; host < Math.min(size.hosts(), size.endpoints()); host++) {
             List<Integer> owned = new ArrayList<>();
             for (int endpoint = host; endpoint < size.endpoints(); endpoint += size.hosts()) {
                 owned.add(endpoint);
             }
             endpoints.add(owned);
-            queues.add(AdmissionQueue.<Request>builder()
+            owners.add(new EntryProcess("host-" + host, 1));
+            queues.add(AdmissionQueue.<Sent>builder()
                     .capacity(CAPACITY)
                     .limit(owned.size() * size.slotsPerEndpoint())
                     .floors(size.floors())
@@ -49,27 +56,31 @@
 
     @Override
     public void arrived(Request request, Simulation simulation) {
-        int owner = owner(request);
-        AdmissionQueue<Request> queue = queues.get(owner);
-        Work<Request> work =
-                new Work<>(request.id(), request.rank(), request.customer(), request.deadlineNanos(), request);
-        Offer<Request> offer = queue.offer(work, simulation.nowNanos());
+        int entry = (int) Math.floorMod((request.id() * 0x9E3779B97F4A7C15L) >>> 32, (long) size.hosts());
+        int owner = owner(entry, request.rank(), request.id());
+        Sent sent = new Sent(request, entry, owner);
+        Work<Sent> work = new Work<>(request.id(), request.rank(), request.customer(), request.deadlineNanos(), sent);
+        Offer<Sent> offer = queues.get(owner).offer(work, simulation.nowNanos());
         if (offer.refusal().isEmpty()) {
+            outstanding[entry][owner][RANKS.indexOf(request.rank())]++;
+            offer.displaced().ifPresent(displaced -> leave(displaced.payload()));
             start(owner, simulation);
         }
     }
 
     @Override
     public void finished(Request request, int endpoint, Simulation simulation) {
-        int owner = endpoint % size.hosts();
-        queues.get(owner).finished(running.remove(request.id()), simulation.nowNanos());
+        Work<Sent> work = running.remove(request.id());
+        int owner = work.payload().owner();
+        queues.get(owner).finished(work, simulation.nowNanos());
+        leave(work.payload());
         start(owner, simulation);
     }
 
     @Override
     public int waiting() {
         int sum = 0;
-        for (AdmissionQueue<Request> queue : queues) {
+        for (AdmissionQueue<Sent> queue : queues) {
             for (Rank rank : Rank.values()) {
                 sum += queue.waiting(rank);
             }
@@ -78,32 +89,38 @@
     }
 
     private void start(int owner, Simulation simulation) {
-        AdmissionQueue<Request> queue = queues.get(owner);
-        Optional<Work<Request>> next = queue.next(simulation.nowNanos());
+        AdmissionQueue<Sent> queue = queues.get(owner);
+        Optional<Work<Sent>> next = queue.next(simulation.nowNanos());
         while (next.isPresent()) {
             int endpoint = leastBusy(owner, simulation);
             running.put(next.get().id(), next.get());
             simulation.send(endpoint);
-            simulation.execute(next.get().payload(), endpoint);
+            simulation.execute(next.get().payload().request(), endpoint);
             next = queue.next(simulation.nowNanos());
         }
-        queue.expired(simulation.nowNanos());
+        queue.expired(simulation.nowNanos()).forEach(work -> leave(work.payload()));
     }
 
-    /** Chooses the owner with the least outstanding work of all entry processes, as if each knew all of it. */
-    private int owner(Request request) {
+    /** Chooses by what one entry process knows: its own outstanding work of the request's rank and higher ranks. */
+    private int owner(int entry, Rank rank, long seed) {
         List<Candidate> candidates = new ArrayList<>();
         for (int owner = 0; owner < queues.size(); owner++) {
-            AdmissionQueue<Request> queue = queues.get(owner);
-            int outstanding = queue.inFlight();
-            for (Rank rank : Rank.values()) {
-                outstanding += queue.waiting(rank);
+            int[] sent = outstanding[entry][owner];
+            int atLeast = 0;
+            for (int other = 0; other <= RANKS.indexOf(rank); other++) {
+                atLeast += sent[other];
             }
-            EntryProcess process = new EntryProcess(Integer.toString(owner), 1);
-            candidates.add(new Candidate(process, endpoints.get(owner).size() * size.slotsPerEndpoint(), outstanding));
+            candidates.add(new Candidate(owners.get(owner), slots(owner), atLeast));
         }
-        EntryProcess chosen = selector.choose(candidates, request.id()).orElseThrow();
-        return Integer.parseInt(chosen.host());
+        return owners.indexOf(selector.choose(candidates, seed).orElseThrow());
+    }
+
+    private int slots(int owner) {
+        return endpoints.get(owner).size() * size.slotsPerEndpoint();
+    }
+
+    private void leave(Sent sent) {
+        outstanding[sent.entry()][sent.owner()][RANKS.indexOf(sent.request().rank())]--;
     }
 
     private int leastBusy(int owner, Simulation simulation) {
@@ -115,4 +132,7 @@
         }
         return best;
     }
+
+    /** A request with the entry process that took it and the owner that got it. */
+    private record Sent(Request request, int entry, int owner) {}
 }
