Add the look-up program and the operators' command

Cause: callers need to learn which entry host to use, and operators need to edit the table, see what is in force and find out why anything happened. Ruled out: asking the entry programs for the measures in 'show', because the member reports in the platform hold them already and one read per failure domain is bounded; a write of the table without its list of changes, see the audit trail. Before: no way to change the table. After: check, diff, apply, show, export, history, drain, undrain, status, explain; tests cover a race of operators and lost answers.

--- /dev/null
+++ b/cli/src/main/java/io/carawaylift/cli/AuditTrail.java
@@ -0,0 +1,82 @@
+package io.carawaylift.cli;
+
+import io.carawaylift.model.AuditEntry;
+import io.carawaylift.model.AuditPage;
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.RecordCodec;
+import io.carawaylift.model.RecordNames;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.platform.PlatformClient;
+import io.carawaylift.platform.StoredObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** The accepted changes, kept in the platform in pages of bounded size. */
+final class AuditTrail {
+    private static final int WRITE_ATTEMPTS = 5;
+
+    private final PlatformClient platform;
+
+    AuditTrail(PlatformClient platform) {
+        this.platform = platform;
+    }
+
+    /** Adds the entry unless it is there already; repeats the conditional update when another operator adds one. */
+    void ensure(AuditEntry entry) {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                tryEnsure(entry);
+                return;
+            } catch (CarawayliftException e) {
+                boolean repeatable = e.code() == ResultCode.VERSION_CONFLICT || e.code() == ResultCode.WRITE_UNRESOLVED;
+                if (!repeatable || attempt == WRITE_ATTEMPTS) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    /** Returns the entry of a change, if it is in the trail. */
+    Optional<AuditEntry> find(long version, String changeId) {
+        return page(version).stream()
+                .flatMap(stored -> entries(stored).stream())
+                .filter(entry -> entry.changeId().equals(changeId))
+                .findFirst();
+    }
+
+    /** Returns the newest entries up to {@code newestVersion}, newest first, at most {@code limit}. */
+    List<AuditEntry> newest(long newestVersion, int limit) {
+        List<AuditEntry> found = new ArrayList<>();
+        long version = newestVersion;
+        while (version > 0 && found.size() < limit) {
+            List<AuditEntry> entries = page(version).map(AuditTrail::entries).orElse(List.of());
+            for (int i = entries.size() - 1; i >= 0 && found.size() < limit; i--) {
+                found.add(entries.get(i));
+            }
+            version = (version / AuditPage.CAPACITY) * AuditPage.CAPACITY - 1;
+        }
+        return found;
+    }
+
+    private void tryEnsure(AuditEntry entry) {
+        Optional<StoredObject> stored = page(entry.toVersion());
+        List<AuditEntry> entries =
+                new ArrayList<>(stored.map(AuditTrail::entries).orElse(List.of()));
+        if (entries.stream().anyMatch(present -> present.changeId().equals(entry.changeId()))) {
+            return;
+        }
+        entries.add(entry);
+        long expected = stored.map(StoredObject::version).orElse(PlatformClient.ABSENT);
+        String name = RecordNames.audit(entry.toVersion());
+        Futures.await(platform.write(name, RecordCodec.encode(new AuditPage(entries)), expected));
+    }
+
+    private Optional<StoredObject> page(long version) {
+        return Futures.await(platform.read(RecordNames.audit(version)));
+    }
+
+    private static List<AuditEntry> entries(StoredObject stored) {
+        return RecordCodec.decode(stored.value(), AuditPage.class).entries();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/carawaylift/cli/CarawayliftCommand.java
@@ -0,0 +1,63 @@
+package io.carawaylift.cli;
+
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import io.carawaylift.model.CarawayliftException;
+import java.util.concurrent.Callable;
+
+/** Entry point of the operators' command. Exit status 0: done, 1: refused or failed with a result code, 2: wrong usage. */
+@Cli(
+        name = "carawaylift",
+        description = "Edits the table of weights and limits and shows what is in force",
+        defaultCommand = Help.class,
+        commands = {
+            Help.class,
+            CheckCommand.class,
+            DiffCommand.class,
+            ApplyCommand.class,
+            ShowCommand.class,
+            ExportCommand.class,
+            HistoryCommand.class,
+            DrainCommand.class,
+            UndrainCommand.class,
+            StatusCommand.class,
+            ExplainCommand.class
+        })
+public final class CarawayliftCommand {
+    private static final int EXIT_REFUSED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private CarawayliftCommand() {}
+
+    /** Runs one command and exits with its status. */
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    /** Runs one command and returns its exit status. */
+    @SuppressWarnings("SystemOut")
+    public static int run(String... args) {
+        try {
+            return execute(new com.github.rvesse.airline.Cli<Object>(CarawayliftCommand.class).parse(args));
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            return EXIT_USAGE;
+        } catch (CarawayliftException e) {
+            System.err.println("error " + e.getMessage());
+            return EXIT_REFUSED;
+        }
+    }
+
+    private static int execute(Object command) {
+        if (command instanceof OperatorCommand operatorCommand) {
+            return operatorCommand.run();
+        }
+        try {
+            ((Callable<?>) command).call();
+            return 0;
+        } catch (Exception e) {
+            throw new IllegalStateException("help failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/carawaylift/cli/ChangeCommand.java
@@ -0,0 +1,102 @@
+package io.carawaylift.cli;
+
+import com.github.rvesse.airline.annotations.Option;
+import io.carawaylift.model.AcceptedTable;
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.model.Table;
+import io.carawaylift.platform.PlatformClient;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** A command that changes the accepted table. */
+abstract class ChangeCommand extends OperatorCommand {
+    private static final Logger LOG = System.getLogger(ChangeCommand.class.getName());
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(250);
+
+    @Option(
+            name = {"--reason"},
+            title = "text",
+            description = "Why the change is made, for the audit trail")
+    private String reason = "";
+
+    @Option(
+            name = {"--author"},
+            title = "name",
+            description = "Who makes the change, the login name if not given")
+    private String author = System.getProperty("user.name");
+
+    @Option(
+            name = {"--base"},
+            title = "version",
+            description = "Refuse unless this is the accepted version")
+    private long baseVersion = -1;
+
+    @Option(
+            name = {"--wait"},
+            description = "Wait until the change is in force on every live host")
+    private boolean wait;
+
+    @Option(
+            name = {"--timeout"},
+            title = "seconds",
+            description = "How long to wait with --wait")
+    private int timeoutSeconds = 30;
+
+    /** Returns the table to accept in place of {@code current}. */
+    abstract Table change(Table current);
+
+    @Override
+    final int run() {
+        PlatformClient platform = platform();
+        TableStore store = new TableStore(platform, Clock.systemUTC());
+        Optional<TableStore.Snapshot> base = store.read();
+        checkBase(base);
+        Table changed = change(TableStore.rows(base));
+        if (base.isPresent() && base.get().accepted().table().equals(changed)) {
+            out().println("version " + base.get().accepted().version() + " already has these rows");
+            return OK;
+        }
+        AcceptedTable accepted = store.replace(base, changed, author, reason);
+        LOG.log(Level.INFO, "table changed: {0}", accepted.auditEntry());
+        out().println("accepted version " + accepted.version() + " change " + accepted.changeId());
+        return wait ? awaitInForce(platform, accepted.version()) : OK;
+    }
+
+    private void checkBase(Optional<TableStore.Snapshot> base) {
+        long version = base.map(snapshot -> snapshot.accepted().version()).orElse(0L);
+        if (baseVersion >= 0 && version != baseVersion) {
+            throw new CarawayliftException(
+                    ResultCode.VERSION_CONFLICT, "accepted version is " + version + ", not " + baseVersion);
+        }
+    }
+
+    private int awaitInForce(PlatformClient platform, long version) {
+        long started = System.nanoTime();
+        long deadline = started + Duration.ofSeconds(timeoutSeconds).toNanos();
+        List<String> missing = FleetView.read(platform).hostsBelow(version);
+        while (!missing.isEmpty() && System.nanoTime() < deadline) {
+            sleep();
+            missing = FleetView.read(platform).hostsBelow(version);
+        }
+        if (!missing.isEmpty()) {
+            throw new CarawayliftException(ResultCode.NOT_IN_FORCE, "version " + version + " is missing on " + missing);
+        }
+        long tookMillis = Duration.ofNanos(System.nanoTime() - started).toMillis();
+        out().println("in force on every live host after " + tookMillis + " ms");
+        return OK;
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(POLL_INTERVAL.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new CarawayliftException(ResultCode.NOT_IN_FORCE, "interrupted while waiting", e);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/carawaylift/cli/FleetView.java
@@ -0,0 +1,71 @@
+package io.carawaylift.cli;
+
+import io.carawaylift.model.DomainRecord;
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberReport;
+import io.carawaylift.model.MemberState;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.RecordCodec;
+import io.carawaylift.model.RecordNames;
+import io.carawaylift.platform.Changes;
+import io.carawaylift.platform.PlatformClient;
+import io.carawaylift.platform.StoredObject;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * What the platform holds about the entry hosts, read once.
+ *
+ * @param members members by the ownership records, sorted by host
+ * @param reports newest reports of the members
+ */
+record FleetView(
+        List<Member> members, List<MemberReport> reports, List<EndpointList> endpoints, List<OwnersRecord> owners) {
+    static FleetView read(PlatformClient platform) {
+        List<OwnersRecord> owners = all(platform, RecordNames.OWNERS_PREFIX, OwnersRecord.class);
+        List<DomainRecord> domains = all(platform, RecordNames.DOMAIN_PREFIX, DomainRecord.class);
+        List<EndpointList> endpoints = all(platform, RecordNames.HOSTS_PREFIX, EndpointList.class);
+        List<Member> members = owners.stream()
+                .flatMap(record -> record.members().stream())
+                .sorted(Comparator.comparing(member -> member.process().toString()))
+                .toList();
+        List<MemberReport> reports =
+                domains.stream().flatMap(record -> record.members().stream()).toList();
+        return new FleetView(members, reports, endpoints, owners);
+    }
+
+    /** Returns live members that have not reported {@code version} of the table, or a newer one, as in force. */
+    List<String> hostsBelow(long version) {
+        List<String> missing = new ArrayList<>();
+        for (Member member : members) {
+            boolean live = member.state() != MemberState.SUSPECTED;
+            if (live && report(member).map(MemberReport::tableVersion).orElse(0L) < version) {
+                missing.add(member.process().host());
+            }
+        }
+        return missing;
+    }
+
+    /** Returns the newest report of a member. */
+    Optional<MemberReport> report(Member member) {
+        return reports.stream()
+                .filter(report -> report.member().process().equals(member.process()))
+                .max(Comparator.comparingLong(MemberReport::heartbeat));
+    }
+
+    private static <T> List<T> all(PlatformClient platform, String prefix, Class<T> type) {
+        List<CompletableFuture<Optional<StoredObject>>> reads = new ArrayList<>();
+        for (Changes.Change change : Futures.await(platform.list(prefix)).changes()) {
+            reads.add(platform.read(change.name()));
+        }
+        return reads.stream()
+                .map(Futures::await)
+                .flatMap(Optional::stream)
+                .map(object -> RecordCodec.decode(object.value(), type))
+                .toList();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/carawaylift/cli/OperatorCommand.java
@@ -0,0 +1,45 @@
+package io.carawaylift.cli;
+
+import com.github.rvesse.airline.annotations.Option;
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.platform.HttpPlatformClient;
+import io.carawaylift.platform.PlatformClient;
+import java.io.PrintStream;
+import java.util.Optional;
+
+/** Options and results that the commands share. */
+abstract class OperatorCommand {
+    static final int OK = 0;
+    static final int REFUSED = 1;
+
+    private static final String PLATFORM_VARIABLE = "CARAWAYLIFT_PLATFORM";
+
+    @Option(
+            name = {"-p", "--platform"},
+            title = "url",
+            description = "Base URL of the platform; the environment variable CARAWAYLIFT_PLATFORM if not given")
+    private String platformUrl = System.getenv(PLATFORM_VARIABLE);
+
+    @SuppressWarnings("SystemOut")
+    private PrintStream out = System.out;
+
+    /** Runs the command and returns its exit status. */
+    abstract int run();
+
+    /** Sends results to another stream. */
+    void printTo(PrintStream stream) {
+        this.out = stream;
+    }
+
+    final PrintStream out() {
+        return out;
+    }
+
+    final PlatformClient platform() {
+        String url = Optional.ofNullable(platformUrl)
+                .orElseThrow(() -> new CarawayliftException(
+                        ResultCode.SETTINGS_INVALID, "give --platform URL or set " + PLATFORM_VARIABLE));
+        return HttpPlatformClient.builder().baseUrl(url).build();
+    }
+}
--- a/cli/src/main/java/io/carawaylift/cli/package-info.java
+++ b/cli/src/main/java/io/carawaylift/cli/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** The operators' command {@code carawaylift}. */
 package io.carawaylift.cli;
--- /dev/null
+++ b/cli/src/test/java/io/carawaylift/cli/FakePlatform.java
@@ -0,0 +1,71 @@
+package io.carawaylift.cli;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.platform.Changes;
+import io.carawaylift.platform.PlatformClient;
+import io.carawaylift.platform.StoredObject;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/** Platform in memory that can lose the answers of writes and run a rival's change before a write. */
+final class FakePlatform implements PlatformClient {
+    private final Map<String, StoredObject> objects = new TreeMap<>();
+    private long revision;
+    private int answersToLose;
+    private Runnable beforeNextWrite = () -> {};
+
+    /** Applies the next {@code count} writes but fails them as unresolved. */
+    void loseAnswers(int count) {
+        answersToLose = count;
+    }
+
+    /** Runs {@code action} once, right before the next write is checked. */
+    void beforeNextWrite(Runnable action) {
+        beforeNextWrite = action;
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredObject>> read(String name) {
+        return CompletableFuture.completedFuture(Optional.ofNullable(objects.get(name)));
+    }
+
+    @Override
+    public CompletableFuture<StoredObject> write(String name, RecordBytes value, long expectedVersion) {
+        Runnable action = beforeNextWrite;
+        beforeNextWrite = () -> {};
+        action.run();
+        StoredObject present = objects.get(name);
+        long version = present == null ? ABSENT : present.version();
+        if (version != expectedVersion) {
+            return CompletableFuture.failedFuture(new CarawayliftException(ResultCode.VERSION_CONFLICT, name));
+        }
+        revision++;
+        StoredObject stored = new StoredObject(name, revision, value);
+        objects.put(name, stored);
+        if (answersToLose > 0) {
+            answersToLose--;
+            return CompletableFuture.failedFuture(new CarawayliftException(ResultCode.WRITE_UNRESOLVED, name));
+        }
+        return CompletableFuture.completedFuture(stored);
+    }
+
+    @Override
+    public CompletableFuture<Changes> changes(String prefix, long afterRevision, Duration wait) {
+        return list(prefix);
+    }
+
+    @Override
+    public CompletableFuture<Changes> list(String prefix) {
+        return CompletableFuture.completedFuture(new Changes(
+                revision,
+                objects.values().stream()
+                        .filter(object -> object.name().startsWith(prefix))
+                        .map(object -> new Changes.Change(object.name(), object.version()))
+                        .toList()));
+    }
+}
--- a/entry/src/main/java/io/carawaylift/entry/CallerHandler.java
+++ b/entry/src/main/java/io/carawaylift/entry/CallerHandler.java
@@ -83,8 +83,7 @@
     }
 
     private void dispatch(ChannelHandlerContext context) {
-        RawRequest request =
-                new RawRequest(head.method().name(), head.uri(), headers(head), body.readByteString());
+        RawRequest request = new RawRequest(head.method().name(), head.uri(), headers(head), body.readByteString());
         boolean keepAlive = HttpUtil.isKeepAlive(head) && !state.isClosing();
         HttpRequest current = head;
         head = null;
--- a/entry/src/main/java/io/carawaylift/entry/EntryService.java
+++ b/entry/src/main/java/io/carawaylift/entry/EntryService.java
@@ -74,8 +74,7 @@
         serverState = new ServerState(router, clock);
         server = new CallerServer(settings.host().address(), settings.port(), serverState);
         pages.set(new AdminPages(
-                self,
-                new AdminPages.Sources(steering, shards, log, () -> state, serverState::inFlight, clock)));
+                self, new AdminPages.Sources(steering, shards, log, () -> state, serverState::inFlight, clock)));
         link = links.apply(
                 new ControlLink.Identity("entry", self, ProcessHandle.current().pid()));
         records = new ControlRecords(leases, this);
--- a/entry/src/main/java/io/carawaylift/entry/Heartbeats.java
+++ b/entry/src/main/java/io/carawaylift/entry/Heartbeats.java
@@ -64,7 +64,8 @@
         beforeNanos = now;
         List<UpstreamMeasure> measures = new ArrayList<>();
         shards.localLoads().forEach((upstream, load) -> {
-            Counters counters = new Counters(load.load().dispatched(), load.load().refused());
+            Counters counters =
+                    new Counters(load.load().dispatched(), load.load().refused());
             Counters old = before.getOrDefault(upstream, new Counters(0, 0));
             before.put(upstream, counters);
             measures.add(new UpstreamMeasure(
--- /dev/null
+++ b/lookup/src/main/java/io/carawaylift/lookup/EntryDirectory.java
@@ -0,0 +1,67 @@
+package io.carawaylift.lookup;
+
+import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberState;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Orders entry hosts for a client: first those of its site, then those of the same region, then all others. Within each
+ * group the order is a rendezvous hash of client and host, so that clients spread evenly and keep their host when others
+ * come and go. Immutable.
+ */
+final class EntryDirectory {
+    /** Hosts named in an answer: enough to try others when one or two have failed since. */
+    private static final int MAX_ENTRIES = 4;
+
+    private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L;
+    private static final int HASH_SHIFT = 32;
+
+    private final List<Member> members;
+
+    private EntryDirectory(List<Member> members) {
+        this.members = members;
+    }
+
+    /** Returns a directory of the members that may be named: the active ones, or the suspected ones if none is active. */
+    static EntryDirectory of(Collection<Member> members) {
+        List<Member> active = inState(members, MemberState.ACTIVE);
+        return new EntryDirectory(active.isEmpty() ? inState(members, MemberState.SUSPECTED) : active);
+    }
+
+    private static List<Member> inState(Collection<Member> members, MemberState state) {
+        return members.stream().filter(member -> member.state() == state).toList();
+    }
+
+    /** Returns up to four entry hosts in the order to try; empty if no host may be named. */
+    List<Member> choose(int client, String site, String region) {
+        List<Member> ordered = new ArrayList<>(members);
+        ordered.sort(Comparator.comparingInt((Member member) -> distance(member, site, region))
+                .thenComparingLong(member -> hash(client, member)));
+        return ordered.subList(0, Math.min(MAX_ENTRIES, ordered.size()));
+    }
+
+    /** Returns the region of a site, or {@code fallback} if no member is at the site. */
+    String regionOf(String site, String fallback) {
+        return members.stream()
+                .filter(member -> member.site().equals(site))
+                .map(Member::region)
+                .findFirst()
+                .orElse(fallback);
+    }
+
+    private static int distance(Member member, String site, String region) {
+        if (member.site().equals(site)) {
+            return 0;
+        }
+        return member.region().equals(region) ? 1 : 2;
+    }
+
+    private static long hash(int client, Member member) {
+        long mixed = (((long) client << HASH_SHIFT) ^ member.process().host().hashCode()) * HASH_MULTIPLIER;
+        mixed ^= mixed >>> HASH_SHIFT;
+        return mixed * HASH_MULTIPLIER;
+    }
+}
--- /dev/null
+++ b/lookup/src/main/java/io/carawaylift/lookup/LookupAnswer.java
@@ -0,0 +1,18 @@
+package io.carawaylift.lookup;
+
+import java.util.List;
+
+/**
+ * Answer to a look-up.
+ *
+ * @param entries entry hosts in the order in which the caller should try them, not empty
+ * @param lifetimeMs how long the caller may keep the answer, in milliseconds
+ */
+public record LookupAnswer(List<Entry> entries, long lifetimeMs) {
+    public LookupAnswer {
+        entries = List.copyOf(entries);
+    }
+
+    /** An entry host and the base URL of its entry program. */
+    public record Entry(String host, String url) {}
+}
--- /dev/null
+++ b/lookup/src/main/java/io/carawaylift/lookup/LookupRecords.java
@@ -0,0 +1,89 @@
+package io.carawaylift.lookup;
+
+import io.carawaylift.decisions.address.AddressMap;
+import io.carawaylift.model.AcceptedTable;
+import io.carawaylift.model.BlockList;
+import io.carawaylift.model.Member;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.RecordCodec;
+import io.carawaylift.model.RecordNames;
+import io.carawaylift.peer.ControlLink;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Keeps what the look-up needs of the records and publishes it as an immutable view. Records arrive on one thread at a
+ * time; readers take the view without a lock.
+ */
+final class LookupRecords implements ControlLink.Listener {
+    private static final Logger LOG = System.getLogger(LookupRecords.class.getName());
+
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Map<String, List<Member>> membersByRecord = new HashMap<>();
+    private AddressMap addresses = AddressMap.empty();
+    private long lifetimeMs;
+    private boolean isSynchronized;
+    private volatile View view;
+
+    /** What one look-up uses. */
+    record View(EntryDirectory directory, AddressMap addresses, long lifetimeMs) {}
+
+    /** Returns the newest view, or empty until the records are complete and hold a table. */
+    Optional<View> view() {
+        return Optional.ofNullable(view);
+    }
+
+    @Override
+    public synchronized void recordChanged(String name, long version, RecordBytes value) {
+        if (versions.getOrDefault(name, -1L) >= version) {
+            return;
+        }
+        versions.put(name, version);
+        if (name.equals(RecordNames.TABLE)) {
+            lifetimeMs = RecordCodec.decode(value, AcceptedTable.class).table().lookupLifetimeMs();
+        } else if (name.startsWith(RecordNames.OWNERS_PREFIX)) {
+            membersByRecord.put(
+                    name, RecordCodec.decode(value, OwnersRecord.class).members());
+        } else if (name.startsWith(RecordNames.BLOCKS_PREFIX)) {
+            addresses = addresses.with(listNumber(name), RecordCodec.decode(value, BlockList.class));
+        }
+        publish();
+    }
+
+    @Override
+    public synchronized void synchronizedWithControl() {
+        isSynchronized = true;
+        publish();
+    }
+
+    /** Keeps the last view: old hosts are a better answer than none, and callers try the next host of the answer. */
+    @Override
+    public void disconnected() {
+        LOG.log(Level.WARNING, "connection to the control program lost; answering from the last known records");
+    }
+
+    @Override
+    public void platformConfirmed(long heartbeat, Map<String, Long> ownersVersions) {}
+
+    @Override
+    public void successorAcknowledged(String successorHost, long heartbeat) {}
+
+    private static int listNumber(String name) {
+        return Integer.parseInt(name.substring(RecordNames.BLOCKS_PREFIX.length()));
+    }
+
+    private void publish() {
+        if (!isSynchronized || lifetimeMs == 0) {
+            return;
+        }
+        List<Member> members = new ArrayList<>();
+        membersByRecord.values().forEach(members::addAll);
+        view = new View(EntryDirectory.of(members), addresses, lifetimeMs);
+    }
+}
--- a/peer/src/test/java/io/carawaylift/peer/ControlLinksTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/ControlLinksTest.java
@@ -79,7 +79,7 @@
     }
 
     private static MemberReport report() {
-        Member member = new Member(PROCESS, "r", "r-a", "s", "e", "l", "c", MemberState.ACTIVE);
+        Member member = new Member(PROCESS, "r", "r-a", "s", "e", "l", "a", "c", MemberState.ACTIVE);
         return new MemberReport(member, 1, 0, List.of(), List.of());
     }
 
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -23,7 +23,8 @@
     private static final EntryProcess PROCESS = new EntryProcess("h1", 1_790_000_000_000L);
 
     static Stream<Message> messages() {
-        Member member = new Member(PROCESS, "r", "r-a", "s", "http://e", "http://l", "127.0.0.1:1", MemberState.ACTIVE);
+        Member member = new Member(
+                PROCESS, "r", "r-a", "s", "http://e", "http://l", "http://a", "127.0.0.1:1", MemberState.ACTIVE);
         MemberReport report = new MemberReport(
                 member, 9, 4, List.of(new Release("e1", 3)), List.of(new UpstreamMeasure("u", 1, 2.5, 0, 3)));
         return Stream.of(
