Add the simulated platform

Every test with real processes needs the users' object API with its faults. Netty was chosen over Jooby because faults need access to the connection. Before: no platform.

--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/http/Exchange.java
@@ -0,0 +1,168 @@
+package io.carawaylift.testing.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpChunkedInput;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** One request and its answer. At most one of the answering methods or {@link #abort} may be called. */
+@SuppressWarnings("FutureReturnValueIgnored") // A failed write or close ends in the close of the connection.
+public final class Exchange {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Channel channel;
+    private final String method;
+    private final String uri;
+    private final QueryStringDecoder query;
+    private final HttpHeaders headers;
+    private final byte[] body;
+    private final boolean keepAlive;
+
+    Exchange(Channel channel, FullHttpRequest request) {
+        this.channel = channel;
+        this.method = request.method().name();
+        this.uri = request.uri();
+        this.query = new QueryStringDecoder(request.uri());
+        this.headers = request.headers().copy();
+        this.body = ByteBufUtil.getBytes(request.content());
+        this.keepAlive = HttpUtil.isKeepAlive(request);
+    }
+
+    /** Returns the request method in upper case. */
+    public String method() {
+        return method;
+    }
+
+    /** Returns path and query as sent. */
+    public String uri() {
+        return uri;
+    }
+
+    /** Returns the path without the query. */
+    public String path() {
+        return query.path();
+    }
+
+    /** Returns the request body. */
+    public byte[] body() {
+        return body.clone();
+    }
+
+    /** Returns a request header. */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(headers.get(name));
+    }
+
+    /** Returns the first value of a query parameter. */
+    public Optional<String> parameter(String name) {
+        List<String> values = query.parameters().getOrDefault(name, List.of());
+        return values.stream().findFirst();
+    }
+
+    /** Returns a query parameter as a whole number, or {@code absent} if it is missing. */
+    public long number(String name, long absent) {
+        return parameter(name).map(Long::parseLong).orElse(absent);
+    }
+
+    /** Calls {@code action} when the connection closes, at once if it is closed already. */
+    public void onClose(Runnable action) {
+        channel.closeFuture().addListener(closed -> action.run());
+    }
+
+    /** Runs {@code action} later on the event loop of the connection, even if the connection is closed by then. */
+    public void schedule(Runnable action, long delayMs) {
+        channel.eventLoop().schedule(action, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Answers with a text. */
+    public void answerText(int status, String text) {
+        answer(status, Map.of("Content-Type", "text/plain"), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Answers with status 200 and a value as JSON. */
+    public void answerJson(Object value) {
+        try {
+            answer(200, Map.of("Content-Type", "application/json"), JSON.writeValueAsBytes(value));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("cannot write " + value.getClass() + " as JSON", e);
+        }
+    }
+
+    /** Answers with a body that is kept in memory. */
+    public void answer(int status, Map<String, String> answerHeaders, byte[] answerBody) {
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(answerBody));
+        prepare(response, answerHeaders, answerBody.length);
+        closeUnlessKeptAlive(channel.writeAndFlush(response));
+    }
+
+    /**
+     * Answers with generated content from {@code offset} to {@code end}.
+     *
+     * @param cutAt offset at which the connection is aborted, {@code Long.MAX_VALUE} for a complete answer
+     * @param done called when everything is written or the connection failed
+     */
+    public void answerPattern(
+            int status,
+            Map<String, String> answerHeaders,
+            PatternContent content,
+            long offset,
+            long end,
+            long cutAt,
+            Runnable done) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        prepare(response, answerHeaders, end - offset);
+        channel.write(response);
+        ChannelFuture last = "HEAD".equals(method)
+                ? channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                : channel.writeAndFlush(new HttpChunkedInput(new PatternInput(content, offset, end, cutAt)));
+        last.addListener(written -> {
+            if (!written.isSuccess()) {
+                abort();
+            }
+            done.run();
+        });
+        closeUnlessKeptAlive(last);
+    }
+
+    /** Closes the connection with a reset and without an answer. */
+    public void abort() {
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        channel.close();
+    }
+
+    private void prepare(HttpResponse response, Map<String, String> answerHeaders, long length) {
+        answerHeaders.forEach(response.headers()::set);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        HttpUtil.setKeepAlive(response, keepAlive);
+    }
+
+    private void closeUnlessKeptAlive(ChannelFuture written) {
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/http/HttpListener.java
@@ -0,0 +1,138 @@
+package io.carawaylift.testing.http;
+
+import io.carawaylift.runtime.Service;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.stream.ChunkedWriteHandler;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+/**
+ * HTTP server on one port. It can be stopped and started again at the same port, which clients see as refused
+ * connections in between. Handlers run on an event loop and must not block.
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // A failed write or close ends in the close of the connection.
+public final class HttpListener implements Service {
+    private static final int MAX_BODY_BYTES = 4 << 20;
+    private static final int BACKLOG = 1024;
+
+    private final EventLoopGroup eventLoops;
+    private final String address;
+    private final int maxConnections;
+    private final Consumer<Exchange> handler;
+    private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger peakConnections = new AtomicInteger();
+    private final AtomicInteger refusedConnections = new AtomicInteger();
+    private volatile int port;
+    private volatile Channel listener;
+
+    /**
+     * Creates a server.
+     *
+     * @param port 0 for any free port, see {@link #port()}
+     * @param maxConnections further connections are closed as soon as they are accepted
+     */
+    public HttpListener(
+            EventLoopGroup eventLoops, String address, int port, int maxConnections, Consumer<Exchange> handler) {
+        this.eventLoops = eventLoops;
+        this.address = address;
+        this.port = port;
+        this.maxConnections = maxConnections;
+        this.handler = handler;
+    }
+
+    /** Returns the port, after the first start the bound one. */
+    public int port() {
+        return port;
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Returns the highest number of connections that were open at once. */
+    public int peakConnections() {
+        return peakConnections.get();
+    }
+
+    /** Returns how many connections were closed because of the limit. */
+    public int refusedConnections() {
+        return refusedConnections.get();
+    }
+
+    @Override
+    public synchronized void start() {
+        if (listener != null) {
+            return;
+        }
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Connection());
+        listener = bootstrap.bind(address, port).syncUninterruptibly().channel();
+        port = ((java.net.InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Closes the port and every connection, in the middle of an answer if there is one. */
+    @Override
+    public synchronized void stop() {
+        if (listener == null) {
+            return;
+        }
+        listener.close().syncUninterruptibly();
+        listener = null;
+        connections.forEach(Channel::close);
+    }
+
+    private final class Connection extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            connections.add(channel);
+            channel.closeFuture().addListener(closed -> connections.remove(channel));
+            int open = connections.size();
+            if (open > maxConnections) {
+                refusedConnections.incrementAndGet();
+                channel.close();
+                return;
+            }
+            peakConnections.accumulateAndGet(open, Math::max);
+            channel.pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new ChunkedWriteHandler())
+                    .addLast(new Requests());
+        }
+    }
+
+    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            Exchange exchange = new Exchange(context.channel(), request);
+            try {
+                handler.accept(exchange);
+            } catch (RuntimeException e) {
+                exchange.answerText(400, String.valueOf(e.getMessage()));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/http/PatternContent.java
@@ -0,0 +1,66 @@
+package io.carawaylift.testing.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32;
+
+/**
+ * Content of any length that depends only on a text, so that the reader can compute what it must have received.
+ * Immutable.
+ */
+public final class PatternContent {
+    private static final long GOLDEN_RATIO = 0x9E3779B97F4A7C15L;
+
+    private final long seed;
+
+    /** Creates the content that belongs to {@code text}. */
+    public PatternContent(String text) {
+        long hash = 0;
+        for (byte part : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = mix(hash * 31 + part);
+        }
+        this.seed = hash;
+    }
+
+    /** Returns a strong validator of the content. */
+    public String etag() {
+        return '"' + Long.toHexString(seed) + '"';
+    }
+
+    /** Returns the bytes from {@code offset} to {@code offset + length}. */
+    public byte[] bytes(long offset, int length) {
+        byte[] bytes = new byte[length];
+        for (int index = 0; index < length; index++) {
+            bytes[index] = at(offset + index);
+        }
+        return bytes;
+    }
+
+    /** Returns whether {@code bytes} are the content at {@code offset}. */
+    public boolean matches(long offset, byte[] bytes, int length) {
+        for (int index = 0; index < length; index++) {
+            if (bytes[index] != at(offset + index)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns a checksum by which two bodies are compared. */
+    public static String checksum(byte[] bytes) {
+        CRC32 sum = new CRC32();
+        sum.update(bytes);
+        return bytes.length + "-" + Long.toHexString(sum.getValue());
+    }
+
+    private byte at(long position) {
+        long word = mix(seed + (position >>> 3) * GOLDEN_RATIO);
+        return (byte) (word >>> ((position & 7) << 3));
+    }
+
+    /** Finaliser of SplitMix64. */
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
+        mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+        return mixed ^ (mixed >>> 31);
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The users' object API in memory, with faults on demand. */
+package io.carawaylift.testing.platform;
