Add simulated upstream endpoints

Counts of runs, peaks in flight and content derived from the request are what the invariants are judged by. Before: no endpoints.

--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/upstream/AnswerBody.java
@@ -0,0 +1,60 @@
+package io.carawaylift.testing.upstream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.carawaylift.testing.http.PatternContent;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Body of an answer: one line of JSON that repeats what the endpoint received, then content computed from that line.
+ * A body that belongs to another request, or of which a part is missing, does not pass {@link #parse}.
+ *
+ * @param uri path and query of the request
+ * @param requestId id that the request carried, empty if none
+ * @param ticket ticket that the request carried, empty if none
+ * @param received checksum of the request body
+ * @param endpoint id of the endpoint
+ * @param run number of this run of the request at this process, from 1
+ * @param contentBytes length of the content after the line
+ */
+public record AnswerBody(
+        String uri, String requestId, String ticket, String received, String endpoint, int run, int contentBytes) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    byte[] encode() {
+        try {
+            String line = JSON.writeValueAsString(this) + "\n";
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            out.write(line.getBytes(StandardCharsets.UTF_8));
+            out.write(new PatternContent(line).bytes(0, contentBytes));
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns the first line if the body is complete and unchanged. */
+    public static Optional<AnswerBody> parse(byte[] body) {
+        int end = 0;
+        while (end < body.length && body[end] != '\n') {
+            end++;
+        }
+        if (end == body.length) {
+            return Optional.empty();
+        }
+        String line = new String(body, 0, end + 1, StandardCharsets.UTF_8);
+        try {
+            AnswerBody answer = JSON.readValue(line, AnswerBody.class);
+            byte[] content = new PatternContent(line).bytes(0, answer.contentBytes());
+            boolean complete = body.length == end + 1 + content.length
+                    && java.util.Arrays.equals(body, end + 1, body.length, content, 0, content.length);
+            return complete ? Optional.of(answer) : Optional.empty();
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/upstream/ByteRange.java
@@ -0,0 +1,30 @@
+package io.carawaylift.testing.upstream;
+
+import io.carawaylift.testing.http.Exchange;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Part of a download that a request asks for, from {@code start} to before {@code end}. */
+record ByteRange(long start, long end) {
+    private static final Pattern RANGE = Pattern.compile("bytes=(\\d+)-(\\d*)");
+
+    /** Returns the requested range, or empty if the whole is to be sent; {@code If-Range} must name the ETag. */
+    static Optional<ByteRange> requested(Exchange call, long length, String etag) {
+        if (call.header("If-Range").filter(condition -> !condition.equals(etag)).isPresent()) {
+            return Optional.empty();
+        }
+        return call.header("Range")
+                .map(RANGE::matcher)
+                .filter(Matcher::matches)
+                .map(matcher -> new ByteRange(Long.parseLong(matcher.group(1)), end(matcher.group(2), length)));
+    }
+
+    private static long end(String last, long length) {
+        return last.isEmpty() ? length : Math.min(length, Long.parseLong(last) + 1);
+    }
+
+    boolean satisfiable() {
+        return start < end;
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/upstream/SimulatedUpstream.java
@@ -0,0 +1,103 @@
+package io.carawaylift.testing.upstream;
+
+import io.carawaylift.runtime.Service;
+import io.carawaylift.testing.http.Exchange;
+import io.carawaylift.testing.http.HttpListener;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Several endpoints in one process and a control interface: {@code GET /statistics}, {@code POST /reset-peaks},
+ * {@code GET /runs?kind=once|repeatable|ticket|id[&key=]}, and {@code POST /faults?endpoint=|upstream=&silent=&shed=
+ * &slowFactor=&dropAnswers=&cutBodies=&reportedLoad=&leaving=&cold=}, which applies to all endpoints if none is named.
+ */
+public final class SimulatedUpstream implements Service {
+    private static final int CONTROL_CONNECTIONS = 100;
+
+    private final RunCounts runs = new RunCounts();
+    private final EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final List<SimulatedEndpoint> endpoints;
+    private final HttpListener control;
+
+    /** Creates the endpoints of a plan. */
+    public SimulatedUpstream(UpstreamPlan plan) {
+        endpoints = plan.endpoints().stream()
+                .map(endpoint -> new SimulatedEndpoint(plan, endpoint, runs, eventLoops))
+                .toList();
+        control =
+                new HttpListener(eventLoops, plan.address(), plan.controlPort(), CONTROL_CONNECTIONS, this::controlled);
+    }
+
+    /** Returns the port of the control interface. */
+    public int controlPort() {
+        return control.port();
+    }
+
+    /** Returns the port of an endpoint in the order of the plan. */
+    public int endpointPort(int index) {
+        return endpoints.get(index).listener().port();
+    }
+
+    /** Returns the counts of every endpoint in the order of the plan. */
+    public List<EndpointStatistics> statistics() {
+        return endpoints.stream().map(SimulatedEndpoint::statistics).toList();
+    }
+
+    /** Returns the number of runs by path of once-only requests. */
+    public Map<String, Integer> onceOnlyRuns() {
+        return runs.all("once");
+    }
+
+    @Override
+    public void start() {
+        endpoints.forEach(endpoint -> endpoint.listener().start());
+        control.start();
+    }
+
+    @Override
+    public void stop() {
+        endpoints.forEach(endpoint -> endpoint.listener().stop());
+        control.stop();
+        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private void controlled(Exchange request) {
+        switch (request.path()) {
+            case "/statistics" ->
+                request.answerJson(Map.of("runCountsOverflowed", runs.overflowed(), "endpoints", statistics()));
+            case "/reset-peaks" -> {
+                endpoints.forEach(SimulatedEndpoint::resetPeak);
+                request.answerJson(Map.of());
+            }
+            case "/runs" -> answerRuns(request);
+            case "/faults" -> {
+                endpoints.stream()
+                        .filter(endpoint -> isNamed(request, endpoint))
+                        .forEach(endpoint -> endpoint.control(request));
+                request.answerJson(Map.of());
+            }
+            default -> request.answerText(404, "no such page: " + request.path());
+        }
+    }
+
+    private void answerRuns(Exchange request) {
+        String kind = request.parameter("kind").orElse("once");
+        if (request.parameter("key").isPresent()) {
+            request.answerJson(
+                    Map.of("runs", runs.of(kind, request.parameter("key").get())));
+        } else {
+            request.answerJson(runs.all(kind));
+        }
+    }
+
+    private static boolean isNamed(Exchange request, SimulatedEndpoint endpoint) {
+        return request.parameter("endpoint").map(endpoint.id()::equals).orElse(true)
+                && request.parameter("upstream")
+                        .map(endpoint.upstream()::equals)
+                        .orElse(true);
+    }
+}
