Add a fault-injecting TCP proxy

Silent connections, delays and partitions cannot be made with real sockets on the loopback otherwise; packet filters are ruled out on this machine.

--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/proxy/FaultProxy.java
@@ -0,0 +1,124 @@
+package io.carawaylift.testing.proxy;
+
+import io.carawaylift.runtime.Service;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/** Forwards every connection to one target. All faults can be set at any time and apply to both directions. */
+@SuppressWarnings("FutureReturnValueIgnored") // A failed write or close ends in the close of the connection.
+public final class FaultProxy implements Service {
+    private final String address;
+    private final InetSocketAddress target;
+    private final EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final Set<Link> links = ConcurrentHashMap.newKeySet();
+    private volatile Pace toTarget = new Pace(0, 0);
+    private volatile Pace toClient = new Pace(0, 0);
+    private volatile boolean frozen;
+    private volatile Channel listener;
+    private volatile int port;
+
+    /** Creates a proxy; {@code port} 0 stands for any free one. */
+    public FaultProxy(String address, int port, InetSocketAddress target) {
+        this.address = address;
+        this.port = port;
+        this.target = target;
+    }
+
+    /** Returns the port, after the first start the bound one. */
+    public int port() {
+        return port;
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return links.size();
+    }
+
+    /** Sets delay and bandwidth of each direction; data that is on its way already keeps its old time. */
+    public void pace(long delayMs, long bytesPerSecond) {
+        toTarget = new Pace(delayMs, bytesPerSecond);
+        toClient = new Pace(delayMs, bytesPerSecond);
+    }
+
+    /** Resets all open connections; new ones work. */
+    public void cut() {
+        links.forEach(Link::reset);
+    }
+
+    /** Drops everything on the open connections from now on without closing them; new ones work. */
+    public void mute() {
+        links.forEach(Link::mute);
+    }
+
+    /** Holds all data of old and new connections back until it is unfrozen; nothing is lost. */
+    public void freeze(boolean value) {
+        frozen = value;
+        if (!value) {
+            links.forEach(Link::thaw);
+        }
+    }
+
+    /** Opens or closes the port; open connections are not touched. */
+    public synchronized void accept(boolean value) {
+        if (value && listener == null) {
+            bind();
+        } else if (!value && listener != null) {
+            listener.close().syncUninterruptibly();
+            listener = null;
+        }
+    }
+
+    @Override
+    public void start() {
+        accept(true);
+    }
+
+    @Override
+    public void stop() {
+        accept(false);
+        cut();
+        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    boolean frozen() {
+        return frozen;
+    }
+
+    Pace pace(boolean fromClient) {
+        return fromClient ? toTarget : toClient;
+    }
+
+    private void bind() {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel client) {
+                        open(client);
+                    }
+                });
+        listener = bootstrap.bind(address, port).syncUninterruptibly().channel();
+        port = ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    private void open(Channel client) {
+        Link link = new Link(this, client);
+        links.add(link);
+        client.closeFuture().addListener(closed -> links.remove(link));
+        link.connect(target);
+    }
+}
