Add callers and an open-loop load

Callers ask lookups, keep answers for their lifetime, fetch a ticket for once-only work and keep it over retries elsewhere. The conclusion covers all attempts, so a refusal after a broken attempt is still an unknown outcome. Latency counts from the scheduled arrival, so that queueing is not hidden.

--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/caller/Caller.java
@@ -0,0 +1,218 @@
+package io.carawaylift.testing.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.carawaylift.model.Headers;
+import io.carawaylift.model.Outcome;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.testing.caller.CallResult.Content;
+import io.carawaylift.testing.http.HttpCalls;
+import io.carawaylift.testing.http.PatternContent;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import okhttp3.ConnectionPool;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/**
+ * Sends calls as a caller should: to the entry host that a lookup names, once-only work with a ticket that is kept over
+ * retries at other hosts. Thread-safe; calls block.
+ */
+public final class Caller {
+    private static final int MAX_ATTEMPTS = 4;
+    private static final int REQUEST_BODY_BYTES = 300;
+    private static final long CONNECT_TIMEOUT_MS = 1_000;
+    private static final long LOOKUP_TIMEOUT_MS = 1_000;
+    private static final long GRACE_MS = 1_500;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Refusals that say nothing about load, so that another entry host is worth a try. */
+    private static final Set<ResultCode> TRY_ELSEWHERE =
+            Set.of(ResultCode.NO_TABLE, ResultCode.STOPPING, ResultCode.CONNECT_FAILED, ResultCode.NOT_OWNER);
+
+    private final OkHttpClient client = new OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+            .connectionPool(new ConnectionPool(200, 20, TimeUnit.SECONDS))
+            .build();
+    private final List<LookupClient> lookups = new ArrayList<>();
+    private final AtomicLong lookupFailures = new AtomicLong();
+
+    /** Creates callers at several client addresses that ask these lookup programs. */
+    public Caller(List<String> lookupUrls, List<String> clientAddresses) {
+        HttpCalls http = new HttpCalls(LOOKUP_TIMEOUT_MS);
+        for (int index = 0; index < clientAddresses.size(); index++) {
+            lookups.add(new LookupClient(http, lookupUrls, clientAddresses.get(index), index, lookupFailures));
+        }
+    }
+
+    /** Returns how often a lookup program did not answer. */
+    public long lookupFailures() {
+        return lookupFailures.get();
+    }
+
+    /** Closes idle connections. */
+    public void close() {
+        client.connectionPool().evictAll();
+    }
+
+    /** Makes one call; {@code token} must be unique, it becomes part of the path. */
+    public CallResult call(LoadPart part, String token, int number) {
+        return new Call(part, token, number).run();
+    }
+
+    /** The attempts of one call. */
+    private final class Call {
+        private final LoadPart part;
+        private final int number;
+        private final String path;
+        private final String uri;
+        private final byte[] body;
+        private final long endNanos;
+        private String ticket;
+        private int attempts;
+        private int cutAttempts;
+        private int refusedConnections;
+        private boolean mayHaveRun;
+        private ResultCode code;
+        private int status;
+        private String requestId = "";
+        private Content content = Content.NONE;
+
+        Call(LoadPart part, String token, int number) {
+            this.part = part;
+            this.number = number;
+            this.path = part.action() + "/" + token;
+            this.uri = path + "?bytes=" + part.bytes();
+            this.body = part.onceOnly() ? new PatternContent(token).bytes(0, REQUEST_BODY_BYTES) : new byte[0];
+            this.endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(part.deadlineMs());
+        }
+
+        CallResult run() {
+            LookupClient lookup = lookups.get(number % lookups.size());
+            boolean settled = false;
+            for (int turn = 0; turn < MAX_ATTEMPTS && !settled && leftMs() > 0; turn++) {
+                List<String> entries = lookup.entryUrls();
+                settled = !entries.isEmpty() && tryAt(entries.get(turn % entries.size()));
+            }
+            int codeNumber = code == null ? 0 : code.number();
+            return new CallResult(
+                    path, outcome(), codeNumber, status, attempts, cutAttempts, refusedConnections, content, requestId);
+        }
+
+        /** Concludes over all attempts: a later refusal does not undo an earlier attempt that broke off. */
+        private Outcome outcome() {
+            if (code != null && code.outcome() == Outcome.ANSWERED && content != Content.NONE) {
+                return Outcome.ANSWERED;
+            }
+            return mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        }
+
+        private long leftMs() {
+            return TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+        }
+
+        private boolean tryAt(String entryUrl) {
+            if (part.onceOnly() && ticket == null) {
+                ticket = fetchTicket(entryUrl).orElse(null);
+                if (ticket == null) {
+                    return false;
+                }
+            }
+            attempts++;
+            try (Response response = send(request(entryUrl))) {
+                return settle(response);
+            } catch (IOException e) {
+                noteFailure(e);
+                return false;
+            }
+        }
+
+        private Request request(String entryUrl) {
+            Request.Builder request = new Request.Builder()
+                    .url(entryUrl + "/" + part.service() + uri)
+                    .header(Headers.RANK, part.rank().label())
+                    .header(
+                            Headers.CUSTOMER,
+                            part.customers().get(number % part.customers().size()))
+                    .header(Headers.DEADLINE_MS, Long.toString(Math.max(1, leftMs())));
+            if (part.onceOnly()) {
+                request.header(Headers.TICKET, ticket).method(part.method(), RequestBody.create(body));
+            }
+            return request.build();
+        }
+
+        private Response send(Request request) throws IOException {
+            okhttp3.Call sent = client.newCall(request);
+            sent.timeout().timeout(Math.max(1, leftMs()) + GRACE_MS, TimeUnit.MILLISECONDS);
+            return sent.execute();
+        }
+
+        private Optional<String> fetchTicket(String entryUrl) {
+            Request request = new Request.Builder()
+                    .url(entryUrl + "/tickets?count=1")
+                    .post(RequestBody.EMPTY)
+                    .build();
+            try (Response response = send(request)) {
+                String found = JSON.readTree(response.body().string())
+                        .path("tickets")
+                        .path(0)
+                        .asText("");
+                return Optional.of(found).filter(text -> !text.isEmpty());
+            } catch (IOException e) {
+                refusedConnections++;
+                return Optional.empty();
+            }
+        }
+
+        /** Notes the answer; returns whether the call is settled. */
+        private boolean settle(Response response) throws IOException {
+            status = response.code();
+            requestId = response.header(Headers.REQUEST_ID, "");
+            code = ResultCode.ofNumber(Integer.parseInt(response.header(Headers.CODE, "0")))
+                    .orElse(null);
+            if (code == null) {
+                mayHaveRun = true;
+                content = Content.FOREIGN;
+                return true;
+            }
+            return switch (code.outcome()) {
+                case ANSWERED -> {
+                    mayHaveRun = true;
+                    content = check(response);
+                    yield true;
+                }
+                case NOT_RUN -> !TRY_ELSEWHERE.contains(code);
+                default -> {
+                    mayHaveRun = true;
+                    yield part.onceOnly();
+                }
+            };
+        }
+
+        private Content check(Response response) throws IOException {
+            if (code == ResultCode.ANSWER_NOT_KEPT) {
+                return Content.ERROR_STATUS;
+            }
+            return new ContentCheck(part, path, uri, ticket, body).check(response);
+        }
+
+        private void noteFailure(IOException failure) {
+            boolean unsent = failure instanceof java.net.ConnectException
+                    || String.valueOf(failure.getMessage()).startsWith("failed to connect");
+            if (unsent) {
+                refusedConnections++;
+            } else {
+                cutAttempts++;
+                mayHaveRun = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/caller/ContentCheck.java
@@ -0,0 +1,85 @@
+package io.carawaylift.testing.caller;
+
+import io.carawaylift.model.Headers;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.testing.caller.CallResult.Content;
+import io.carawaylift.testing.http.PatternContent;
+import io.carawaylift.testing.upstream.AnswerBody;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Optional;
+import okhttp3.Response;
+
+/** Checks that an answer is complete and belongs to its request. */
+final class ContentCheck {
+    private static final int BUFFER_BYTES = 16 << 10;
+    private static final int OK = 200;
+
+    private final LoadPart part;
+    private final String path;
+    private final String uri;
+    private final String ticket;
+    private final byte[] requestBody;
+
+    /** Creates a check; {@code ticket} is null if the request has none. */
+    ContentCheck(LoadPart part, String path, String uri, String ticket, byte[] requestBody) {
+        this.part = part;
+        this.path = path;
+        this.uri = uri;
+        this.ticket = ticket;
+        this.requestBody = requestBody.clone();
+    }
+
+    /**
+     * Reads and checks the body.
+     *
+     * @throws IOException if the connection breaks, which is not a short answer
+     */
+    Content check(Response response) throws IOException {
+        if (response.code() != OK) {
+            byte[] unused = response.body().bytes();
+            return Content.ERROR_STATUS;
+        }
+        return part.download() ? checkDownload(response) : checkAnswer(response);
+    }
+
+    private Content checkDownload(Response response) throws IOException {
+        PatternContent expected = new PatternContent(path);
+        InputStream body = response.body().byteStream();
+        byte[] buffer = new byte[BUFFER_BYTES];
+        long position = 0;
+        for (int length = body.read(buffer); length >= 0; length = body.read(buffer)) {
+            if (!expected.matches(position, buffer, length)) {
+                return Content.FOREIGN;
+            }
+            position += length;
+        }
+        return position == part.bytes() ? Content.CORRECT : Content.SHORT;
+    }
+
+    private Content checkAnswer(Response response) throws IOException {
+        byte[] body = response.body().bytes();
+        Optional<AnswerBody> answer = AnswerBody.parse(body);
+        if (answer.isEmpty()) {
+            return body.length < part.bytes() ? Content.SHORT : Content.FOREIGN;
+        }
+        return belongs(answer.get(), response) ? Content.CORRECT : Content.FOREIGN;
+    }
+
+    private boolean belongs(AnswerBody answer, Response response) {
+        boolean sameRequest = answer.uri().equals(uri)
+                && answer.contentBytes() == part.bytes()
+                && answer.received().equals(PatternContent.checksum(requestBody));
+        boolean sameTicket =
+                ticket == null || answer.ticket().isEmpty() || answer.ticket().equals(ticket);
+        return sameRequest && sameTicket && sameId(answer, response);
+    }
+
+    /** A repeated answer carries the id of the attempt that ran; ids need not be sent to upstreams. */
+    private static boolean sameId(AnswerBody answer, Response response) {
+        String code = response.header(Headers.CODE, "");
+        String id = response.header(Headers.REQUEST_ID, "");
+        boolean replayed = code.equals(Integer.toString(ResultCode.REPLAYED.number()));
+        return replayed || answer.requestId().isEmpty() || answer.requestId().equals(id);
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/caller/Load.java
@@ -0,0 +1,159 @@
+package io.carawaylift.testing.caller;
+
+import io.carawaylift.model.Outcome;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Open-loop load: arrivals follow a Poisson process per part and do not wait for answers. Bounded in time, in calls in
+ * flight, and in calls whose outcome is kept. Ends by itself.
+ */
+public final class Load {
+    private static final int MAX_KEPT_OUTCOMES = 300_000;
+    private static final long DRAIN_SECONDS = 30;
+    private static final long THREAD_STACK_BYTES = 256 << 10;
+
+    private final Caller caller;
+    private final List<LoadPart> parts;
+    private final String name;
+    private final long seed;
+    private final int maxInFlight;
+    private final List<PartTally> tallies = new ArrayList<>();
+    private final Map<String, Outcome> outcomes = new ConcurrentHashMap<>();
+    private final AtomicInteger threads = new AtomicInteger();
+    private volatile boolean ended;
+
+    /**
+     * Creates a load.
+     *
+     * @param name becomes part of every path, unique per run of the endpoints
+     * @param maxInFlight arrivals beyond this many calls in flight are counted but not sent
+     */
+    public Load(Caller caller, String name, List<LoadPart> parts, long seed, int maxInFlight) {
+        this.caller = caller;
+        this.name = name;
+        this.parts = List.copyOf(parts);
+        this.seed = seed;
+        this.maxInFlight = maxInFlight;
+        parts.forEach(part -> tallies.add(new PartTally(part)));
+    }
+
+    /** Offers the load for a time, waits for the last answers, and returns the results in the order of the parts. */
+    public List<PartReport> run(double seconds) {
+        ExecutorService workers = new ThreadPoolExecutor(
+                0, maxInFlight, 1, TimeUnit.SECONDS, new SynchronousQueue<>(), this::newThread, (work, pool) -> {
+                    ((Arrival) work).tally().countNotOffered();
+                });
+        offer(workers, TimeUnit.MILLISECONDS.toNanos((long) (seconds * 1000)));
+        workers.shutdown();
+        try {
+            if (!workers.awaitTermination(DRAIN_SECONDS, TimeUnit.SECONDS)) {
+                throw new IllegalStateException("calls did not end within " + DRAIN_SECONDS + " s");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return tallies.stream().map(tally -> tally.report(seconds)).toList();
+    }
+
+    /** Ends the arrivals before their time. */
+    public void end() {
+        ended = true;
+    }
+
+    /** Returns the outcomes by the path that the upstream sees. */
+    public Map<String, Outcome> outcomes() {
+        return Map.copyOf(outcomes);
+    }
+
+    /** Returns the paths of once-only calls. */
+    public boolean isOnceOnly(String path) {
+        return parts.stream().anyMatch(part -> part.onceOnly() && path.startsWith(part.action() + "/"));
+    }
+
+    private void offer(ExecutorService workers, long durationNanos) {
+        SplittableRandom random = new SplittableRandom(seed);
+        long start = System.nanoTime();
+        long[] due = new long[parts.size()];
+        for (int index = 0; index < due.length; index++) {
+            due[index] = gapNanos(random, index);
+        }
+        int number = 0;
+        while (!ended) {
+            int index = earliest(due);
+            if (due[index] > durationNanos) {
+                return;
+            }
+            waitUntil(start + due[index]);
+            workers.execute(new Arrival(parts.get(index), tallies.get(index), number, start + due[index]));
+            number++;
+            due[index] += gapNanos(random, index);
+        }
+    }
+
+    private long gapNanos(SplittableRandom random, int index) {
+        double mean =
+                TimeUnit.SECONDS.toNanos(1) / Math.max(0.001, parts.get(index).ratePerSecond());
+        return (long) (-Math.log(1 - random.nextDouble()) * mean);
+    }
+
+    private static int earliest(long[] due) {
+        int best = 0;
+        for (int index = 1; index < due.length; index++) {
+            if (due[index] < due[best]) {
+                best = index;
+            }
+        }
+        return best;
+    }
+
+    private static void waitUntil(long nanos) {
+        for (long left = nanos - System.nanoTime(); left > 0; left = nanos - System.nanoTime()) {
+            LockSupport.parkNanos(left);
+        }
+    }
+
+    private Thread newThread(Runnable work) {
+        Thread thread = new Thread(null, work, "caller-" + threads.incrementAndGet(), THREAD_STACK_BYTES);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** One scheduled call. */
+    private final class Arrival implements Runnable {
+        private final LoadPart part;
+        private final PartTally tally;
+        private final int number;
+        private final long dueNanos;
+
+        Arrival(LoadPart part, PartTally tally, int number, long dueNanos) {
+            this.part = part;
+            this.tally = tally;
+            this.number = number;
+            this.dueNanos = dueNanos;
+        }
+
+        PartTally tally() {
+            return tally;
+        }
+
+        @Override
+        public void run() {
+            String token = name + "-" + part.name() + "-" + number;
+            CallResult result = caller.call(part, token, number);
+            tally.count(result, number, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - dueNanos));
+            if (outcomes.size() < MAX_KEPT_OUTCOMES) {
+                outcomes.put(result.path(), result.outcome());
+            }
+        }
+    }
+}
