--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/Demo.java
@@ -0,0 +1,28 @@
+package io.carawaylift.testing;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import io.carawaylift.testing.demo.Demonstrations;
+
+/** Starts sites of real processes on this machine, measures them and ends every process. */
+@Command(name = "demo", description = "Demonstrates carawaylift with real processes")
+public final class Demo {
+    @Option(name = "--site", description = "inzira, tideline or both")
+    private String site = "both";
+
+    @Option(name = "--seconds", description = "Seconds of load per step; some steps take a multiple")
+    private double seconds = 8;
+
+    @Option(name = "--seed", description = "Seed of the arrivals")
+    private long seed = 1;
+
+    @Option(name = "--out", description = "JSON file for the results")
+    private String out = "";
+
+    /** Runs the demonstration; exits 1 if something happened that must not. */
+    public static void main(String[] args) {
+        Demo demo = Programs.parse(Demo.class, args);
+        boolean clean = Demonstrations.run(demo.site, demo.seconds, demo.seed, demo.out);
+        System.exit(clean ? 0 : 1);
+    }
+}
--- a/testing/src/main/java/io/carawaylift/testing/caller/Load.java
+++ b/testing/src/main/java/io/carawaylift/testing/caller/Load.java
@@ -75,11 +75,6 @@
         return Map.copyOf(outcomes);
     }
 
-    /** Returns the paths of once-only calls. */
-    public boolean isOnceOnly(String path) {
-        return parts.stream().anyMatch(part -> part.onceOnly() && path.startsWith(part.action() + "/"));
-    }
-
     private void offer(ExecutorService workers, long durationNanos) {
         SplittableRandom random = new SplittableRandom(seed);
         long start = System.nanoTime();
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Demonstrations.java
@@ -0,0 +1,65 @@
+package io.carawaylift.testing.demo;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.UnaryOperator;
+
+/** Runs the demonstration of one site or of both, one after the other. */
+public final class Demonstrations {
+    private Demonstrations() {}
+
+    /**
+     * Runs the demonstration and prints its results.
+     *
+     * @param site {@code inzira}, {@code tideline} or {@code both}
+     * @param out JSON file for the results, empty for none
+     * @return whether nothing happened that must not
+     */
+    @SuppressWarnings("SystemOut")
+    public static boolean run(String site, double seconds, long seed, String out) {
+        ReportPrinter printer = new ReportPrinter(System.out);
+        for (SitePlan plan : plans(site)) {
+            demonstrate(plan, printer, seconds, seed);
+            if (!out.isEmpty()) {
+                printer.write(Path.of(out));
+            }
+        }
+        printer.line("\nsteps with something that must not happen: " + printer.failedSteps());
+        return printer.failedSteps() == 0;
+    }
+
+    private static void demonstrate(SitePlan plan, ReportPrinter printer, double seconds, long seed) {
+        Fleet fleet = new Fleet(plan, temporaryDirectory(plan.name()), UnaryOperator.identity());
+        Thread end = new Thread(fleet::close, "end of processes");
+        Runtime.getRuntime().addShutdownHook(end);
+        try (Demonstration demonstration = new Demonstration(fleet, printer, seconds, seed)) {
+            demonstration.run();
+        }
+        Runtime.getRuntime().removeShutdownHook(end);
+    }
+
+    private static List<SitePlan> plans(String site) {
+        List<SitePlan> chosen = new ArrayList<>();
+        for (SitePlan plan : List.of(SitePlans.inzira(), SitePlans.tideline())) {
+            if (site.equals("both") || site.equals(plan.name())) {
+                chosen.add(plan);
+            }
+        }
+        if (chosen.isEmpty()) {
+            throw new IllegalArgumentException("--site " + site + ": must be inzira, tideline or both");
+        }
+        return chosen;
+    }
+
+    private static Path temporaryDirectory(String name) {
+        try {
+            return Files.createTempDirectory("carawaylift-" + name + "-");
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot create a temporary directory", e);
+        }
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Launcher.java
@@ -0,0 +1,156 @@
+package io.carawaylift.testing.demo;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Starts processes with a log file each and ends every one of them. Thread-safe. */
+public final class Launcher implements AutoCloseable {
+    private static final long EXIT_SECONDS = 10;
+
+    private final Path directory;
+    private final Path root;
+    private final Map<String, Process> processes = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a launcher.
+     *
+     * @param directory where log files are written
+     * @param root directory of the workspace, with {@code bin} and {@code testing/target}
+     */
+    public Launcher(Path directory, Path root) {
+        this.directory = directory;
+        this.root = root;
+    }
+
+    /** Returns the workspace from the property {@code carawaylift.root}, or a parent of the working directory. */
+    public static Path workspace() {
+        String property = System.getProperty("carawaylift.root");
+        Path path = property == null ? Path.of("").toAbsolutePath() : Path.of(property);
+        while (path != null && !path.resolve("bin/demo").toFile().exists()) {
+            path = path.getParent();
+        }
+        if (path == null) {
+            throw new IllegalStateException("bin/demo is not in a parent of the working directory");
+        }
+        return path;
+    }
+
+    /** Starts a script of {@code bin} under a name that is unique among the running processes. */
+    public Process script(String name, String script, String... arguments) {
+        List<String> command =
+                new ArrayList<>(List.of(root.resolve("bin").resolve(script).toString()));
+        command.addAll(List.of(arguments));
+        return start(name, command);
+    }
+
+    /** Starts a main class of this module. */
+    public Process program(String name, Class<?> mainClass, String... arguments) {
+        Path target = root.resolve("testing/target");
+        List<String> command = new ArrayList<>(List.of(
+                "java",
+                "-Xmx256m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                target.resolve("lib") + "/*" + File.pathSeparator + target.resolve("classes"),
+                mainClass.getName()));
+        command.addAll(List.of(arguments));
+        return start(name, command);
+    }
+
+    /** Returns the log file of a process; a restarted one continues the file. */
+    public Path log(String name) {
+        return directory.resolve(name + ".log");
+    }
+
+    /** Ends a process with SIGKILL and waits for its end. */
+    public void kill(String name) {
+        Process process = processes.remove(name);
+        process.destroyForcibly();
+        await(process, EXIT_SECONDS);
+    }
+
+    /** Asks a process to stop with SIGTERM; returns its exit code, or -1 if it did not end in time. */
+    public int terminate(String name, long seconds) {
+        Process process = processes.get(name);
+        process.destroy();
+        if (!await(process, seconds)) {
+            return -1;
+        }
+        processes.remove(name);
+        return process.exitValue();
+    }
+
+    /** Waits for a process that ends by itself; returns its exit code, or kills it and returns -1. */
+    public int await(String name, long seconds) {
+        Process process = processes.remove(name);
+        if (await(process, seconds)) {
+            return process.exitValue();
+        }
+        process.destroyForcibly();
+        return -1;
+    }
+
+    /** Returns the output of a process without its log lines, which are JSON objects. */
+    public String output(String name) {
+        try (Stream<String> lines = Files.lines(log(name))) {
+            return lines.filter(line -> !line.startsWith("{")).collect(Collectors.joining("; "));
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot read " + log(name), e);
+        }
+    }
+
+    /** Returns a running process. */
+    public Process process(String name) {
+        return processes.get(name);
+    }
+
+    /** Returns names of processes that ended without being told to. */
+    public List<String> endedUnexpectedly() {
+        return processes.entrySet().stream()
+                .filter(entry -> !entry.getValue().isAlive())
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
+    /** Ends all processes with SIGKILL. */
+    @Override
+    public void close() {
+        processes.values().forEach(Process::destroyForcibly);
+        processes.values().forEach(process -> await(process, EXIT_SECONDS));
+        processes.clear();
+    }
+
+    private Process start(String name, List<String> command) {
+        try {
+            Process process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log(name).toFile()))
+                    .start();
+            processes.put(name, process);
+            return process;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot start " + command, e);
+        }
+    }
+
+    private static boolean await(Process process, long seconds) {
+        try {
+            return process.waitFor(seconds, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/demo/PlatformRecords.java
@@ -0,0 +1,102 @@
+package io.carawaylift.testing.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.carawaylift.model.AcceptedTable;
+import io.carawaylift.model.BlockList;
+import io.carawaylift.model.DomainRecord;
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.RecordCodec;
+import io.carawaylift.model.RecordNames;
+import io.carawaylift.model.Table;
+import io.carawaylift.testing.http.HttpCalls;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Reads records of the platform and uses its control interface. */
+public final class PlatformRecords {
+    private static final long TIMEOUT_MS = 5_000;
+
+    private final HttpCalls http = new HttpCalls(TIMEOUT_MS);
+    private final String url;
+    private final String controlUrl;
+
+    PlatformRecords(String url, String controlUrl) {
+        this.url = url;
+        this.controlUrl = controlUrl;
+    }
+
+    /** Returns the base URL of the object API. */
+    public String url() {
+        return url;
+    }
+
+    /** Writes the first table and the map of client blocks. */
+    void writeFirst(Table table, List<BlockList.Block> blocks) {
+        create(
+                RecordNames.TABLE,
+                new AcceptedTable(1, "first", "launcher", "starting table", "2026-01-01T00:00:00Z", table));
+        create(RecordNames.BLOCKS_PREFIX + "0", new BlockList(blocks));
+    }
+
+    /** Makes the platform list these endpoints and hosts, after the lag that is set. */
+    void list(EndpointList list) {
+        HttpCalls.Answer answer = http.put(
+                controlUrl + "/" + RecordNames.hosts(list.failureDomain()),
+                RecordCodec.encode(list).toArray(),
+                "Content-Type",
+                "application/json");
+        require(answer, "list");
+    }
+
+    /** Returns the accepted table. */
+    public AcceptedTable table() {
+        return read(RecordNames.TABLE, AcceptedTable.class).orElseThrow();
+    }
+
+    /** Returns the owners of a failure domain's endpoints. */
+    public Optional<OwnersRecord> owners(String failureDomain) {
+        return read(RecordNames.owners(failureDomain), OwnersRecord.class);
+    }
+
+    /** Returns the newest heartbeats of a failure domain. */
+    public Optional<DomainRecord> heartbeats(String failureDomain) {
+        return read(RecordNames.domain(failureDomain), DomainRecord.class);
+    }
+
+    /** Sets faults, for example {@code mode=silent}. */
+    public void faults(String query) {
+        require(http.post(controlUrl + "/faults?" + query), query);
+    }
+
+    /** Returns the platform's counts of calls by kind. */
+    public Map<String, Long> calls() {
+        Map<String, Long> counts = new TreeMap<>();
+        for (Map.Entry<String, JsonNode> entry :
+                http.get(controlUrl + "/calls").json().properties()) {
+            counts.put(entry.getKey(), entry.getValue().asLong());
+        }
+        return counts;
+    }
+
+    private void create(String name, Object record) {
+        byte[] value = RecordCodec.encode(record).toArray();
+        require(http.put(url + "/objects/" + name, value, "If-None-Match", "*"), name);
+    }
+
+    private <T> Optional<T> read(String name, Class<T> type) {
+        HttpCalls.Answer answer = http.get(url + "/objects/" + name);
+        return answer.status() == 200
+                ? Optional.of(RecordCodec.decode(RecordBytes.of(answer.text()), type))
+                : Optional.empty();
+    }
+
+    private static void require(HttpCalls.Answer answer, String what) {
+        if (answer.status() != 200) {
+            throw new IllegalStateException(what + ": status " + answer.status() + " " + answer.text());
+        }
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/demo/PortRange.java
@@ -0,0 +1,52 @@
+package io.carawaylift.testing.demo;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.SplittableRandom;
+
+/** Consecutive free ports below those that the system hands out to clients. Not thread-safe. */
+public final class PortRange {
+    private static final int LOWEST = 12_000;
+    private static final int HIGHEST = 31_000;
+    private static final int TRIES = 200;
+
+    private int next;
+    private final int end;
+
+    private PortRange(int first, int count) {
+        this.next = first;
+        this.end = first + count;
+    }
+
+    /** Finds a range in which every port can be bound now. */
+    public static PortRange find(int count) {
+        SplittableRandom random = new SplittableRandom(ProcessHandle.current().pid() * 31 + System.nanoTime());
+        for (int attempt = 0; attempt < TRIES; attempt++) {
+            int first = random.nextInt(LOWEST, HIGHEST - count);
+            if (free(first, count)) {
+                return new PortRange(first, count);
+            }
+        }
+        throw new IllegalStateException("no " + count + " consecutive free ports found");
+    }
+
+    /** Returns the next port. */
+    public int take() {
+        if (next == end) {
+            throw new IllegalStateException("all ports of the range are taken");
+        }
+        return next++;
+    }
+
+    private static boolean free(int first, int count) {
+        for (int port = first; port < first + count; port++) {
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                socket.setReuseAddress(true);
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/testing/src/main/java/io/carawaylift/testing/upstream/AnswerBody.java
+++ b/testing/src/main/java/io/carawaylift/testing/upstream/AnswerBody.java
@@ -57,4 +57,15 @@
             return Optional.empty();
         }
     }
+
+    /** Returns the endpoint named in the first line, without a check of the content. */
+    public static Optional<String> endpointOf(byte[] body) {
+        String line =
+                new String(body, StandardCharsets.UTF_8).lines().findFirst().orElse("");
+        try {
+            return Optional.of(JSON.readValue(line, AnswerBody.class).endpoint());
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
 }
--- a/testing/src/main/java/io/carawaylift/testing/upstream/RunCounts.java
+++ b/testing/src/main/java/io/carawaylift/testing/upstream/RunCounts.java
@@ -19,6 +19,11 @@
         runs.merge(kind + ":" + key, 1, Integer::sum);
     }
 
+    /** Forgets what is not needed to judge once-only requests, so that a long run stays within the bound. */
+    void forgetRepeatable() {
+        runs.keySet().removeIf(key -> key.startsWith("repeatable:") || key.startsWith("id:"));
+    }
+
     boolean overflowed() {
         return overflowed;
     }
--- a/testing/src/main/java/io/carawaylift/testing/upstream/SimulatedUpstream.java
+++ b/testing/src/main/java/io/carawaylift/testing/upstream/SimulatedUpstream.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Several endpoints in one process and a control interface: {@code GET /statistics}, {@code POST /reset-peaks},
+ * Several endpoints in one process and a control interface: {@code GET /statistics}, {@code POST /reset},
  * {@code GET /runs?kind=once|repeatable|ticket|id[&key=]}, and {@code POST /faults?endpoint=|upstream=&silent=&shed=
  * &slowFactor=&dropAnswers=&cutBodies=&reportedLoad=&leaving=&cold=}, which applies to all endpoints if none is named.
  */
@@ -69,7 +69,8 @@
         switch (request.path()) {
             case "/statistics" ->
                 request.answerJson(Map.of("runCountsOverflowed", runs.overflowed(), "endpoints", statistics()));
-            case "/reset-peaks" -> {
+            case "/reset" -> {
+                runs.forgetRepeatable();
                 endpoints.forEach(SimulatedEndpoint::resetPeak);
                 request.answerJson(Map.of());
             }
