--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/measure/OwnershipWorld.java
@@ -0,0 +1,357 @@
+package io.carawaylift.testing.measure;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.Endpoint;
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberState;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Ownership;
+import io.carawaylift.model.Rank;
+import io.carawaylift.model.RecordNames;
+import io.carawaylift.model.RegionRow;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.model.ServiceRow;
+import io.carawaylift.model.Table;
+import io.carawaylift.model.UpstreamRow;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** One region with hosts, endpoints, a network and the platform, in virtual time and determined by a seed. */
+final class OwnershipWorld {
+    static final String REGION = "r1";
+    static final List<String> DOMAINS = List.of("fd1", "fd2");
+    /** Longest deadline of the service. */
+    static final long HOLD = 3_000_000_000L;
+
+    private static final long MILLISECOND = 1_000_000L;
+    private static final int ENDPOINTS_PER_DOMAIN = 3;
+    private static final int[] SLOTS = {3, 4, 5};
+    /**
+     * Half the difference in rates for which the margin of 1 s suffices: over lease, margin and hold (10 s) two clocks differ
+     * by less than 0.9 s.
+     */
+    private static final double MAX_DRIFT = 0.045;
+
+    private final EventQueue events = new EventQueue();
+    private final Random random;
+    private final EnumSet<SimulatedRule> rules;
+    private final SimulatedPlatform platform;
+    private final Table table = newTable();
+    private final Map<String, SimulatedEndpoint> endpoints = new LinkedHashMap<>();
+    private final Map<String, SimulatedControl> controls = new TreeMap<>();
+    private final Map<String, SimulatedEntry> entries = new TreeMap<>();
+    private final Map<String, String> domainOf = new TreeMap<>();
+    private final Map<String, Integer> sides = new TreeMap<>();
+    private final Set<String> cutFromPlatform = new HashSet<>();
+    private final Map<String, Long> epochs = new TreeMap<>();
+    private double messageLoss;
+    private int hostsStarted;
+
+    OwnershipWorld(long seed, Set<SimulatedRule> disabled) {
+        this.random = new Random(seed);
+        this.rules = EnumSet.allOf(SimulatedRule.class);
+        this.rules.removeAll(disabled);
+        this.platform = new SimulatedPlatform(events, random, new SimulatedPlatform.Faults());
+        for (String domain : DOMAINS) {
+            for (int i = 0; i < ENDPOINTS_PER_DOMAIN; i++) {
+                String id = domain + "-e" + i;
+                endpoints.put(id, new SimulatedEndpoint(new Endpoint(id, domain + "-up", "", SLOTS[i], 100, false)));
+            }
+            platform.put(RecordNames.hosts(domain), new EndpointList(domain, REGION, endpointsOf(domain), List.of()));
+        }
+        for (int i = 0; i < 5; i++) {
+            startHost(DOMAINS.get(i % 2));
+        }
+    }
+
+    private static Table newTable() {
+        Table.Builder builder = Table.builder()
+                .put(new RegionRow(REGION, 1, 0))
+                .put(new ServiceRow("svc", Rank.STANDARD, List.of("GET"), HOLD / MILLISECOND));
+        for (String domain : DOMAINS) {
+            builder.put(new UpstreamRow(domain + "-up", "svc", REGION, domain, 1, 0, false));
+        }
+        return builder.build();
+    }
+
+    EventQueue events() {
+        return events;
+    }
+
+    SimulatedPlatform platform() {
+        return platform;
+    }
+
+    Table table() {
+        return table;
+    }
+
+    Random random() {
+        return random;
+    }
+
+    boolean has(SimulatedRule rule) {
+        return rules.contains(rule);
+    }
+
+    SimulatedEndpoint endpoint(String id) {
+        return endpoints.get(id);
+    }
+
+    Collection<SimulatedEndpoint> endpoints() {
+        return endpoints.values();
+    }
+
+    List<String> hosts() {
+        return List.copyOf(domainOf.keySet());
+    }
+
+    String randomHost() {
+        List<String> hosts = hosts();
+        return hosts.get(random.nextInt(hosts.size()));
+    }
+
+    /** Requests mostly last as long as they may. */
+    long requestDuration() {
+        return random.nextInt(4) == 0 ? (long) (random.nextDouble() * HOLD) : HOLD;
+    }
+
+    // Hosts
+
+    void startHost(String domain) {
+        String host = String.format("h%03d", hostsStarted++);
+        domainOf.put(host, domain);
+        startControl(host);
+        startEntry(host, 1);
+        relist(domain, host, true, random.nextInt(3_000) * MILLISECOND);
+    }
+
+    private void relist(String domain, String host, boolean listed, long delay) {
+        events.after(delay, () -> {
+            EndpointList old = (EndpointList)
+                    platform.now(RecordNames.hosts(domain)).orElseThrow().value();
+            List<String> hosts = new ArrayList<>(old.entryHosts());
+            hosts.remove(host);
+            if (listed) {
+                hosts.add(host);
+            }
+            platform.put(RecordNames.hosts(domain), new EndpointList(domain, REGION, old.endpoints(), hosts));
+        });
+    }
+
+    private void startControl(String host) {
+        controls.put(host, new SimulatedControl(this, host, domainOf.get(host), rate(), offset()));
+    }
+
+    private void startEntry(String host, long incarnation) {
+        Member member = new Member(
+                new EntryProcess(host, incarnation), REGION, domainOf.get(host), "", "", "", "", MemberState.ACTIVE);
+        entries.put(host, new SimulatedEntry(this, member, rate(), offset()));
+        toControl(host, SimulatedControl::sendAllRecords);
+    }
+
+    private double rate() {
+        return 1 + MAX_DRIFT * (2 * random.nextDouble() - 1);
+    }
+
+    private long offset() {
+        return random.nextInt(1_000_000) * MILLISECOND;
+    }
+
+    void restartEntry(String host) {
+        SimulatedEntry old = entries.get(host);
+        old.kill();
+        EntryProcess process = old.member().process();
+        toControl(host, control -> control.entryEnded(process));
+        long down = random.nextInt(15_000) * MILLISECOND;
+        events.after(down, () -> {
+            if (domainOf.containsKey(host) && entries.get(host) == old) {
+                startEntry(host, process.incarnation() + 1);
+            }
+        });
+    }
+
+    void restartControl(String host) {
+        SimulatedControl old = controls.get(host);
+        old.kill();
+        long down = random.nextInt(12_000) * MILLISECOND;
+        events.after(down, () -> {
+            if (domainOf.containsKey(host) && controls.get(host) == old) {
+                startControl(host);
+            }
+        });
+    }
+
+    void restartHost(String host) {
+        SimulatedEntry entry = entries.get(host);
+        entry.kill();
+        restartControl(host);
+        long down = random.nextInt(15_000) * MILLISECOND;
+        events.after(down, () -> {
+            if (domainOf.containsKey(host) && entries.get(host) == entry) {
+                startEntry(host, entry.member().process().incarnation() + 1);
+            }
+        });
+    }
+
+    void replaceHost(String host) {
+        String domain = domainOf.remove(host);
+        controls.remove(host).kill();
+        entries.remove(host).kill();
+        relist(domain, host, false, (3_500 + random.nextInt(25_000)) * MILLISECOND);
+        startHost(domain);
+    }
+
+    void pauseEntry(String host, long duration) {
+        entries.get(host).pause(duration);
+    }
+
+    void pauseControl(String host, long duration) {
+        controls.get(host).pause(duration);
+    }
+
+    /** Makes a host leave gracefully and start again later. */
+    void leave(String host) {
+        entries.get(host).leave();
+        events.after(20_000 * MILLISECOND, () -> {
+            if (domainOf.containsKey(host) && entries.get(host).member().state() == MemberState.LEAVING) {
+                restartHost(host);
+            }
+        });
+    }
+
+    // Network
+
+    void split(String host, int side) {
+        sides.put(host, side);
+    }
+
+    void cutFromPlatform(String host) {
+        cutFromPlatform.add(host);
+    }
+
+    void messageLoss(double rate) {
+        messageLoss = rate;
+    }
+
+    void heal() {
+        sides.clear();
+        cutFromPlatform.clear();
+        messageLoss = 0;
+        platform.faults().lossRate = 0;
+        platform.faults().lateRate = 0;
+        platform.faults().outageUntil = 0;
+        platform.faults().watchDownUntil = 0;
+    }
+
+    /** Sends between control programs; the message may be lost, duplicated or overtaken. */
+    void send(String from, String to, Consumer<SimulatedControl> message) {
+        if (!sides.getOrDefault(from, 0).equals(sides.getOrDefault(to, 0)) || random.nextDouble() < messageLoss) {
+            return;
+        }
+        int copies = random.nextInt(50) == 0 ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            boolean slow = random.nextInt(100) == 0;
+            long delay = slow ? random.nextInt(8_000) * MILLISECOND : (1 + random.nextInt(20)) * MILLISECOND;
+            SimulatedControl receiver = controls.get(to);
+            if (receiver != null) {
+                receiver.handleAfter(delay, () -> message.accept(receiver));
+            }
+        }
+    }
+
+    /** Sends over the connection within a host, which keeps the order. */
+    void toControl(String host, Consumer<SimulatedControl> message) {
+        SimulatedControl control = controls.get(host);
+        if (control != null) {
+            control.handleAfter(MILLISECOND, () -> message.accept(control));
+        }
+    }
+
+    /** Sends over the connection within a host, which keeps the order. */
+    void toEntry(String host, Consumer<SimulatedEntry> message) {
+        SimulatedEntry entry = entries.get(host);
+        if (entry != null) {
+            entry.handleAfter(MILLISECOND, () -> message.accept(entry));
+        }
+    }
+
+    void read(SimulatedProcess caller, String host, String name, Consumer<Optional<SimulatedPlatform.Stored>> answer) {
+        if (!cutFromPlatform.contains(host)) {
+            platform.read(caller, name, answer);
+        }
+    }
+
+    void write(
+            SimulatedProcess caller,
+            String host,
+            String name,
+            Object value,
+            long expected,
+            Consumer<SimulatedPlatform.Written> answer) {
+        if (!cutFromPlatform.contains(host)) {
+            platform.write(caller, name, value, expected, answer);
+        }
+    }
+
+    // Checks
+
+    private List<Endpoint> endpointsOf(String domain) {
+        return endpoints.values().stream()
+                .map(SimulatedEndpoint::endpoint)
+                .filter(endpoint -> endpoint.upstream().equals(domain + "-up"))
+                .toList();
+    }
+
+    /** Fails if the epoch of an entry went back. */
+    void checkEpochs() {
+        for (String domain : DOMAINS) {
+            platform.now(RecordNames.owners(domain))
+                    .map(stored -> (OwnersRecord) stored.value())
+                    .ifPresent(record -> record.endpoints().forEach(this::checkEpoch));
+        }
+    }
+
+    private void checkEpoch(Ownership entry) {
+        Long before = epochs.put(entry.endpoint(), entry.epoch());
+        if (before != null && before > entry.epoch()) {
+            throw new CarawayliftException(ResultCode.INVARIANT_VIOLATED, "epoch went back: " + entry);
+        }
+    }
+
+    /** Returns the endpoints whose owner may not use all slots now, with their entries. */
+    List<String> notFullyServed() {
+        List<String> open = new ArrayList<>();
+        for (String domain : DOMAINS) {
+            OwnersRecord record = (OwnersRecord) platform.now(RecordNames.owners(domain))
+                    .map(SimulatedPlatform.Stored::value)
+                    .orElse(new OwnersRecord(domain, REGION, List.of(), List.of()));
+            for (Endpoint endpoint : endpointsOf(domain)) {
+                Optional<Ownership> entry = record.ownership(endpoint.id());
+                if (entry.isEmpty() || !isFullyServed(endpoint, entry.get())) {
+                    open.add(endpoint.id() + " " + entry);
+                }
+            }
+        }
+        return open;
+    }
+
+    private boolean isFullyServed(Endpoint endpoint, Ownership entry) {
+        SimulatedEntry owner = entries.get(entry.owner().host());
+        return owner != null
+                && owner.member().process().equals(entry.owner())
+                && owner.permittedSlots(endpoint.id(), endpoint.slots()) == endpoint.slots();
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/measure/SimulatedEndpoint.java
@@ -0,0 +1,43 @@
+package io.carawaylift.testing.measure;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.Endpoint;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.ResultCode;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Counts requests in flight at an endpoint and fails above its slots. */
+final class SimulatedEndpoint {
+    private final Endpoint endpoint;
+    private final Map<EntryProcess, Integer> inFlight = new HashMap<>();
+    private int total;
+
+    SimulatedEndpoint(Endpoint endpoint) {
+        this.endpoint = endpoint;
+    }
+
+    Endpoint endpoint() {
+        return endpoint;
+    }
+
+    int inFlight(EntryProcess process) {
+        return inFlight.getOrDefault(process, 0);
+    }
+
+    void start(EntryProcess process, long now) {
+        inFlight.merge(process, 1, Integer::sum);
+        total++;
+        if (total > endpoint.slots()) {
+            throw new CarawayliftException(
+                    ResultCode.INVARIANT_VIOLATED,
+                    "endpoint " + endpoint.id() + " has " + inFlight + " in flight at " + now / 1_000_000
+                            + " ms, above " + endpoint.slots() + " slots");
+        }
+    }
+
+    void end(EntryProcess process) {
+        inFlight.computeIfPresent(process, (key, count) -> count == 1 ? null : count - 1);
+        total--;
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded randomised runs and measurements of the decisions. */
+package io.carawaylift.testing.measure;
