Add the control program as a shell round the decisions

Cause: entry and lookup programs need records, heartbeats and promises, and the platform needs one reporter and two agents per failure domain.

Ruled out: one watch per record prefix (four waiting calls per agent in place of one); locks round the decisions, which one decision thread makes needless. Ruled out as well: using endpoint lists older than an owners/ record to confirm that a host is gone; they are compared with the platform first.

Before: no control program. After: agent, reporter, successor, digest exchange, start from platform and peers, status page and metrics.

--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/ControlService.java
@@ -0,0 +1,163 @@
+package io.carawaylift.control;
+
+import io.carawaylift.decisions.membership.DomainMembers;
+import io.carawaylift.decisions.ownership.LeaseTimes;
+import io.carawaylift.decisions.ownership.TakeoverPolicy;
+import io.carawaylift.peer.Message;
+import io.carawaylift.peer.PeerNetwork;
+import io.carawaylift.platform.CallCounts;
+import io.carawaylift.platform.HttpPlatformClient;
+import io.carawaylift.platform.RetryPolicy;
+import io.carawaylift.runtime.AdminServer;
+import io.carawaylift.runtime.HostSettings;
+import io.carawaylift.runtime.Service;
+import io.carawaylift.runtime.Settings;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.LongFunction;
+
+/** The control program of one host as a service. Built by {@link #builder}. */
+public final class ControlService implements Service {
+    /** Covers a whole fleet that starts together, and leaves peers time to deliver records first. */
+    private static final int START_READ_SPREAD_MILLIS = 500;
+
+    private static final int DIGEST_EVERY_HEARTBEATS = 2;
+
+    private final ControlSettings settings;
+    private final LeaseTimes times;
+    private final LongFunction<Optional<ProcessHandle>> processes;
+    private final SplittableRandom random;
+    private final AdminServer admin;
+    private DecisionLoop loop;
+    private PeerNetwork network;
+    private HttpPlatformClient platform;
+    private ControlState state;
+    private StatusPage status;
+
+    private ControlService(Builder builder) {
+        this.settings = ControlSettings.of(Objects.requireNonNull(builder.settings, "settings"));
+        this.times = builder.times;
+        this.processes = builder.processes;
+        this.random = new SplittableRandom(settings.host().id().hashCode() ^ System.nanoTime());
+        this.admin = new AdminServer(
+                settings.host().address(), settings.adminPort(), routes -> StatusPage.addTo(routes, () -> status));
+    }
+
+    /** Returns a builder; the settings must be set. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    @Override
+    public void start() {
+        HostSettings host = settings.host();
+        loop = new DecisionLoop(host.id());
+        network = PeerNetwork.builder().seed(random.nextLong()).build();
+        platform = HttpPlatformClient.builder().baseUrl(settings.platformUrl()).build();
+        state = createState(host);
+        ControlParts parts = new ControlParts(state, random, processes);
+        CallCounts calls = platform.callCounts();
+        status = new StatusPage(state, parts.reporter(), parts.successor(), calls, network.byteCounts());
+        ControlMetrics metrics = new ControlMetrics(admin.metrics(), calls, network.byteCounts());
+        parts.listen(metrics);
+        network.listen(host.address(), settings.port(), hello(host), parts.inbound());
+        admin.start();
+        loop.execute(() -> run(parts));
+    }
+
+    @Override
+    public void stop() {
+        if (loop != null) {
+            loop.stop();
+            network.close();
+            platform.close();
+            admin.stop();
+        }
+    }
+
+    /** Returns what {@code /status} shows; for tests. */
+    StatusPage status() {
+        return status;
+    }
+
+    private ControlState createState(HostSettings host) {
+        Records records = new Records(host.region());
+        RecordReader reader = new RecordReader(platform, records, loop);
+        return new ControlState(
+                host,
+                times,
+                loop,
+                platform,
+                records,
+                reader,
+                new HostLists(records, reader, loop),
+                new DomainMembers(host.failureDomain(), host.region(), times),
+                new TakeoverPolicy(host.id(), times, loop.nowNanos()),
+                new Peers(network, hello(host), records, loop, random.split()),
+                new LocalPrograms(records));
+    }
+
+    private void run(ControlParts parts) {
+        Duration heartbeat = Duration.ofNanos(times.heartbeat());
+        state.peers().connect(settings.seeds());
+        loop.every(heartbeat, phase(heartbeat), parts::tick);
+        Duration digests = heartbeat.multipliedBy(DIGEST_EVERY_HEARTBEATS);
+        loop.every(digests, phase(digests), parts::exchangeDigests);
+        RetryPolicy retry = RetryPolicy.builder()
+                .first(Duration.ofMillis(START_READ_SPREAD_MILLIS))
+                .seed(random.nextLong())
+                .build();
+        new StartRead(state.reader(), loop, retry, state.records()::markSynchronized)
+                .start(Duration.ofMillis(random.nextInt(START_READ_SPREAD_MILLIS)));
+    }
+
+    /** Programs that start together must not work in step. */
+    private Duration phase(Duration period) {
+        return Duration.ofNanos(random.nextLong(period.toNanos()));
+    }
+
+    private Message.Hello hello(HostSettings host) {
+        String address = host.address() + ":" + settings.port();
+        long processId = ProcessHandle.current().pid();
+        return new Message.Hello(
+                Inbound.CONTROL, host.id(), host.region(), host.failureDomain(), address, null, processId);
+    }
+
+    /** Collects what a control program needs. */
+    public static final class Builder {
+        private Settings settings;
+        private LeaseTimes times = LeaseTimes.DEFAULT;
+        private LongFunction<Optional<ProcessHandle>> processes = ProcessHandle::of;
+
+        private Builder() {}
+
+        /** Sets the settings of the host; they are checked by {@link #build}. */
+        public Builder settings(Settings newSettings) {
+            this.settings = newSettings;
+            return this;
+        }
+
+        /** Sets other durations of the lease protocol; all programs must have the same. */
+        public Builder times(LeaseTimes newTimes) {
+            this.times = Objects.requireNonNull(newTimes, "times");
+            return this;
+        }
+
+        /** Sets how process ids of entry programs are looked up. */
+        public Builder processes(LongFunction<Optional<ProcessHandle>> lookup) {
+            this.processes = Objects.requireNonNull(lookup, "lookup");
+            return this;
+        }
+
+        /**
+         * Returns the service; nothing is started yet.
+         *
+         * @throws io.carawaylift.runtime.SettingsException if a setting is wrong
+         */
+        public ControlService build() {
+            return new ControlService(this);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/ControlSettings.java
@@ -0,0 +1,33 @@
+package io.carawaylift.control;
+
+import io.carawaylift.runtime.HostSettings;
+import io.carawaylift.runtime.Settings;
+import java.util.List;
+
+/**
+ * Settings of a control program.
+ *
+ * @param port port for other processes, 0 for any free one
+ * @param adminPort port for operators
+ * @param seeds {@code host:port} of other control programs
+ */
+record ControlSettings(HostSettings host, String platformUrl, int port, int adminPort, List<String> seeds) {
+    private static final List<String> CONTROL_KEYS = List.of("port", "admin_port", "seeds");
+    private static final List<String> PLATFORM_KEYS = List.of("url");
+
+    ControlSettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /** Reads and checks the sections that a control program uses. */
+    static ControlSettings of(Settings settings) {
+        settings.rejectUnknown("control", CONTROL_KEYS);
+        settings.rejectUnknown("platform", PLATFORM_KEYS);
+        return new ControlSettings(
+                HostSettings.of(settings),
+                settings.url("platform.url"),
+                settings.port("control.port"),
+                settings.port("control.admin_port"),
+                settings.addresses("control.seeds"));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/ControlState.java
@@ -0,0 +1,26 @@
+package io.carawaylift.control;
+
+import io.carawaylift.decisions.membership.DomainMembers;
+import io.carawaylift.decisions.ownership.LeaseTimes;
+import io.carawaylift.decisions.ownership.TakeoverPolicy;
+import io.carawaylift.platform.PlatformClient;
+import io.carawaylift.runtime.HostSettings;
+
+/** What the parts of one control program share. The parts use it on the decision thread only. */
+record ControlState(
+        HostSettings host,
+        LeaseTimes times,
+        DecisionLoop loop,
+        PlatformClient platform,
+        Records records,
+        RecordReader reader,
+        HostLists lists,
+        DomainMembers members,
+        TakeoverPolicy takeovers,
+        Peers peers,
+        LocalPrograms programs) {
+    /** Returns whether this host is one of the agents of its failure domain. */
+    boolean isAgent() {
+        return members.agents(host.failureDomain(), loop.nowNanos()).contains(host.id());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/DecisionLoop.java
@@ -0,0 +1,106 @@
+package io.carawaylift.control;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.ResultCode;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * The one thread that runs the decisions of a control program. I/O runs elsewhere and hands its results to this thread, so
+ * no lock is held during I/O. Work that arrives after the stop is dropped. Thread-safe.
+ */
+final class DecisionLoop {
+    private static final Logger LOG = System.getLogger(DecisionLoop.class.getName());
+    private static final long STOP_WAIT_SECONDS = 5;
+
+    private final ScheduledThreadPoolExecutor executor;
+
+    DecisionLoop(String host) {
+        executor = new ScheduledThreadPoolExecutor(
+                1,
+                task -> {
+                    Thread thread = new Thread(task, "decisions-" + host);
+                    thread.setDaemon(true);
+                    return thread;
+                },
+                new ThreadPoolExecutor.DiscardPolicy());
+        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        executor.setContinueExistingPeriodicTasksAfterShutdownPolicy(false);
+    }
+
+    /** Returns the monotonic time in nanoseconds. */
+    long nowNanos() {
+        return System.nanoTime();
+    }
+
+    void execute(Runnable task) {
+        executor.execute(guarded(task));
+    }
+
+    /** Runs a task after a delay and then with this pause between runs; missed runs are not made up for. */
+    void every(Duration pause, Duration firstDelay, Runnable task) {
+        Future<?> unused = executor.scheduleWithFixedDelay(
+                guarded(task), firstDelay.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    void after(Duration delay, Runnable task) {
+        Future<?> unused = executor.schedule(guarded(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Runs exactly one of the two consumers on this thread when the future is done. */
+    <T> void whenDone(CompletableFuture<T> future, Consumer<T> value, Consumer<ResultCode> failure) {
+        CompletableFuture<T> unused = future.whenComplete((result, thrown) -> execute(() -> {
+            if (thrown == null) {
+                value.accept(result);
+            } else {
+                failure.accept(codeOf(thrown));
+            }
+        }));
+    }
+
+    /** Returns what the supplier returns on this thread. */
+    <T> CompletableFuture<T> supply(Supplier<T> supplier) {
+        return CompletableFuture.supplyAsync(supplier, executor);
+    }
+
+    void stop() {
+        executor.shutdown();
+        try {
+            if (!executor.awaitTermination(STOP_WAIT_SECONDS, TimeUnit.SECONDS)) {
+                LOG.log(Level.WARNING, "the decision thread did not end within {0} s", STOP_WAIT_SECONDS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A failed run must not end a periodic task. */
+    private static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.log(Level.ERROR, "a decision failed", e);
+            }
+        };
+    }
+
+    private static ResultCode codeOf(Throwable thrown) {
+        Throwable cause =
+                thrown instanceof CompletionException && thrown.getCause() != null ? thrown.getCause() : thrown;
+        if (cause instanceof CarawayliftException coded) {
+            return coded.code();
+        }
+        LOG.log(Level.ERROR, "a platform call failed without a result code", cause);
+        return ResultCode.WRITE_UNRESOLVED;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/DeltaCache.java
@@ -0,0 +1,52 @@
+package io.carawaylift.control;
+
+import io.carawaylift.decisions.replica.RecordDelta;
+import io.carawaylift.decisions.replica.ReplicaStore;
+import io.carawaylift.peer.Message;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Makes messages with records, as a delta where that is shorter. Keeps the last delta of each record, because an agent
+ * sends the same one to about 50 members. Used on the decision thread only.
+ */
+final class DeltaCache {
+    /** A delta costs the receiver a digest, so it must save at least half of the bytes. */
+    private static final int LEAST_SAVING = 2;
+
+    private final Map<String, Cached> newest = new HashMap<>();
+
+    /** Returns the message that brings a receiver from {@code base} to {@code entry}. */
+    Message message(String name, Optional<ReplicaStore.Entry> base, ReplicaStore.Entry entry) {
+        if (base.isEmpty() || base.get().version() >= entry.version()) {
+            return new Message.RecordValue(name, entry.version(), entry.value());
+        }
+        Cached cached = newest.get(name);
+        if (cached == null || cached.from() != base.get().version() || cached.to() != entry.version()) {
+            cached = new Cached(base.get().version(), entry.version(), delta(name, base.get(), entry));
+            newest.put(name, cached);
+        }
+        return cached.message();
+    }
+
+    private static Message delta(String name, ReplicaStore.Entry base, ReplicaStore.Entry entry) {
+        RecordDelta delta = RecordDelta.between(base, entry);
+        long added = 0;
+        for (RecordDelta.Edit edit : delta.edits()) {
+            for (String line : edit.added()) {
+                added += line.length();
+            }
+        }
+        if (added * LEAST_SAVING > entry.value().length()) {
+            return new Message.RecordValue(name, entry.version(), entry.value());
+        }
+        List<Message.LineEdit> edits = delta.edits().stream()
+                .map(edit -> new Message.LineEdit(edit.line(), edit.removed(), edit.added()))
+                .toList();
+        return new Message.RecordDelta(name, delta.fromVersion(), delta.toVersion(), delta.resultDigest(), edits);
+    }
+
+    private record Cached(long from, long to, Message message) {}
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/HostLists.java
@@ -0,0 +1,108 @@
+package io.carawaylift.control;
+
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Ownership;
+import io.carawaylift.model.RecordNames;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Decides whether the known endpoint lists may be used to confirm that a host is gone. A list that is older than a record
+ * {@code owners/} may lack a host that the record names, so it is compared with the platform first. Used on the decision
+ * thread only.
+ */
+final class HostLists {
+    private final Records records;
+    private final RecordReader reader;
+    private final DecisionLoop loop;
+    private final List<Consumer<Boolean>> waiting = new ArrayList<>();
+    private boolean comparedOnce;
+    private long comparedNanos;
+
+    HostLists(Records records, RecordReader reader, DecisionLoop loop) {
+        this.records = records;
+        this.reader = reader;
+        this.loop = loop;
+    }
+
+    /** Passes on lists that are newer than {@code owners}, or that contain all hosts that it names. */
+    void whenUsable(OwnersRecord owners, Consumer<Collection<EndpointList>> lists, Runnable failed) {
+        if (owners == null || isComplete(hostsOf(owners))) {
+            lists.accept(records.regionLists());
+            return;
+        }
+        compare(succeeded -> {
+            if (succeeded) {
+                lists.accept(records.regionLists());
+            } else {
+                failed.run();
+            }
+        });
+    }
+
+    /** Returns whether the lists are newer than all {@code owners/} records of the region; if not, compares them. */
+    boolean areNewerThanOwners() {
+        boolean complete = true;
+        boolean newer = comparedOnce;
+        for (Records.Owners owners : records.regionOwners().values()) {
+            complete = complete && isComplete(hostsOf(owners.record()));
+            newer = newer && comparedNanos - owners.knownSinceNanos() > 0;
+        }
+        if (!complete && !newer) {
+            compare(succeeded -> {});
+        }
+        return newer;
+    }
+
+    private void compare(Consumer<Boolean> then) {
+        waiting.add(then);
+        if (waiting.size() == 1) {
+            long started = loop.nowNanos();
+            reader.refresh(RecordNames.HOSTS_PREFIX, revision -> compared(started), () -> end(false));
+        }
+    }
+
+    private void compared(long startedNanos) {
+        comparedOnce = true;
+        comparedNanos = startedNanos;
+        end(true);
+    }
+
+    private void end(boolean succeeded) {
+        List<Consumer<Boolean>> ended = List.copyOf(waiting);
+        waiting.clear();
+        ended.forEach(then -> then.accept(succeeded));
+    }
+
+    private boolean isComplete(Set<String> hosts) {
+        Set<String> missing = new HashSet<>(hosts);
+        records.regionLists().forEach(list -> missing.removeAll(list.entryHosts()));
+        return missing.isEmpty();
+    }
+
+    private static Set<String> hostsOf(OwnersRecord owners) {
+        Set<String> hosts = new HashSet<>();
+        owners.members().forEach(member -> hosts.add(member.process().host()));
+        for (Ownership ownership : owners.endpoints()) {
+            addHost(hosts, ownership.owner());
+            addHost(hosts, ownership.previous());
+            addHost(hosts, ownership.next());
+            if (ownership.successor() != null) {
+                hosts.add(ownership.successor());
+            }
+        }
+        return hosts;
+    }
+
+    private static void addHost(Set<String> hosts, EntryProcess process) {
+        if (process != null) {
+            hosts.add(process.host());
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/Peers.java
@@ -0,0 +1,213 @@
+package io.carawaylift.control;
+
+import io.carawaylift.model.Member;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.peer.Connection;
+import io.carawaylift.peer.Message;
+import io.carawaylift.peer.PeerLink;
+import io.carawaylift.peer.PeerListener;
+import io.carawaylift.peer.PeerNetwork;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Connections to other control programs, by host id. Uses a connection that the other side opened if there is one. Used on
+ * the decision thread only; {@link #listener} may be called on any thread.
+ */
+final class Peers implements Records.Listener {
+    private static final Duration UNUSED_LINK = Duration.ofSeconds(15);
+    private static final int START_PEERS = 5;
+
+    private final String self;
+    private final String failureDomain;
+    private final PeerNetwork network;
+    private final Message.Hello hello;
+    private final Records records;
+    private final DecisionLoop loop;
+    private final RandomGenerator random;
+    private final DeltaCache deltas = new DeltaCache();
+    private final Map<String, Address> addresses = new TreeMap<>();
+    private final Map<String, Set<String>> listed = new HashMap<>();
+    private final Map<String, UsedLink> links = new HashMap<>();
+    private final Map<Connection, Outbox> open = new LinkedHashMap<>();
+    private BiConsumer<Outbox, Message> receiver = (outbox, message) -> {};
+
+    Peers(PeerNetwork network, Message.Hello hello, Records records, DecisionLoop loop, RandomGenerator random) {
+        this.self = hello.host();
+        this.failureDomain = hello.failureDomain();
+        this.network = network;
+        this.hello = hello;
+        this.records = records;
+        this.loop = loop;
+        this.random = random;
+    }
+
+    /** Sets who receives the messages of other control programs, on the decision thread. */
+    void receiver(BiConsumer<Outbox, Message> newReceiver) {
+        this.receiver = newReceiver;
+    }
+
+    /** Learns where the control program of a member listens. */
+    void learn(Member member) {
+        learn(member.process().host(), member.failureDomain(), member.controlAddress());
+    }
+
+    /** Learns the members of a failure domain and forgets those that its record names no more. */
+    @Override
+    public void membersRead(OwnersRecord owners) {
+        Set<String> hosts = new HashSet<>();
+        for (Member member : owners.members()) {
+            hosts.add(member.process().host());
+            learn(member);
+        }
+        Set<String> before = listed.put(owners.failureDomain(), hosts);
+        if (before != null) {
+            before.removeAll(hosts);
+            addresses.keySet().removeAll(before);
+        }
+    }
+
+    private void learn(String host, String domain, String address) {
+        if (!host.equals(self) && domain != null && address != null && address.indexOf(':') > 0) {
+            addresses.put(host, new Address(domain, address));
+        }
+    }
+
+    /** Connects to at most five of the seeds. */
+    void connect(List<String> seeds) {
+        List<String> shuffled = new ArrayList<>(seeds);
+        Collections.shuffle(shuffled, new java.util.Random(random.nextLong()));
+        shuffled.stream()
+                .filter(seed -> !seed.equals(hello.controlAddress()))
+                .limit(START_PEERS)
+                .forEach(this::link);
+    }
+
+    /** Sends a message to a host; it is dropped if there is no connection yet, but one is opened for the next time. */
+    boolean send(String host, Message message) {
+        Optional<Outbox> outbox = outbox(host);
+        return outbox.isPresent() && outbox.get().connection().send(message);
+    }
+
+    /** Returns the outbox of an open connection to a host; if there is none, one is opened for the next time. */
+    Optional<Outbox> outbox(String host) {
+        for (Outbox outbox : open.values()) {
+            if (host.equals(outbox.connection().remote().host())) {
+                use(outbox.connection().remote().controlAddress());
+                return Optional.of(outbox);
+            }
+        }
+        Address address = addresses.get(host);
+        if (address != null) {
+            link(address.hostAndPort());
+        }
+        return Optional.empty();
+    }
+
+    /** Returns a random known host inside or outside the own failure domain. */
+    Optional<String> randomHost(boolean sameFailureDomain) {
+        List<String> hosts = addresses.entrySet().stream()
+                .filter(entry -> entry.getValue().failureDomain().equals(failureDomain) == sameFailureDomain)
+                .map(Map.Entry::getKey)
+                .toList();
+        return hosts.isEmpty() ? Optional.empty() : Optional.of(hosts.get(random.nextInt(hosts.size())));
+    }
+
+    /** Closes links that nothing was sent on for a while. */
+    void closeUnused() {
+        long now = loop.nowNanos();
+        links.values().removeIf(link -> {
+            boolean unused = now - link.usedNanos > UNUSED_LINK.toNanos();
+            if (unused) {
+                link.link.close();
+            }
+            return unused;
+        });
+    }
+
+    /** Returns the number of open connections. */
+    int connections() {
+        return open.size();
+    }
+
+    /** Returns the listener for connections in both directions. */
+    PeerListener listener() {
+        return new PeerListener() {
+            @Override
+            public void opened(Connection connection) {
+                loop.execute(() -> Peers.this.opened(connection));
+            }
+
+            @Override
+            public void received(Connection connection, Message message) {
+                loop.execute(() -> {
+                    Outbox outbox = open.get(connection);
+                    if (outbox != null) {
+                        receiver.accept(outbox, message);
+                    }
+                });
+            }
+
+            @Override
+            public void writable(Connection connection) {
+                loop.execute(() -> {
+                    Outbox outbox = open.get(connection);
+                    if (outbox != null) {
+                        outbox.flush();
+                    }
+                });
+            }
+
+            @Override
+            public void closed(Connection connection) {
+                loop.execute(() -> open.remove(connection));
+            }
+        };
+    }
+
+    private void opened(Connection connection) {
+        Message.Hello remote = connection.remote();
+        if (remote.host() == null || remote.host().equals(self)) {
+            connection.close();
+            return;
+        }
+        learn(remote.host(), remote.failureDomain(), remote.controlAddress());
+        open.put(connection, new Outbox(connection, records.store(), deltas));
+        connection.send(new Message.StoreDigest(records.store().digest(), records.isSynchronized()));
+    }
+
+    private void link(String address) {
+        links.computeIfAbsent(address, key -> new UsedLink(network.connect(key, hello, listener())));
+        use(address);
+    }
+
+    private void use(String address) {
+        UsedLink link = links.get(address);
+        if (link != null) {
+            link.usedNanos = loop.nowNanos();
+        }
+    }
+
+    private record Address(String failureDomain, String hostAndPort) {}
+
+    /** A link with the time of its last use. */
+    private static final class UsedLink {
+        private final PeerLink link;
+        private long usedNanos;
+
+        UsedLink(PeerLink link) {
+            this.link = link;
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/RecordReader.java
@@ -0,0 +1,102 @@
+package io.carawaylift.control;
+
+import io.carawaylift.model.RecordNames;
+import io.carawaylift.platform.Changes;
+import io.carawaylift.platform.PlatformClient;
+import io.carawaylift.platform.StoredObject;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongConsumer;
+
+/** Reads records from the platform into {@link Records}, a few at a time. Used on the decision thread only. */
+final class RecordReader {
+    /** Bounds the load of one program that starts or catches up after an outage. */
+    private static final int READS_AT_ONCE = 8;
+
+    private final PlatformClient platform;
+    private final Records records;
+    private final DecisionLoop loop;
+
+    RecordReader(PlatformClient platform, Records records, DecisionLoop loop) {
+        this.platform = platform;
+        this.records = records;
+        this.loop = loop;
+    }
+
+    /**
+     * Lists the records with a prefix and reads those that are newer than known, and the owners of the region that this
+     * process has never read from the platform itself.
+     *
+     * @param done called with the revision of the list after all reads succeeded
+     */
+    void refresh(String prefix, LongConsumer done, Runnable failed) {
+        loop.whenDone(
+                platform.list(prefix),
+                listed -> read(wanted(listed), () -> done.accept(listed.revision()), failed),
+                code -> failed.run());
+    }
+
+    /** Returns the names of the replicated records in an answer that are to be read. */
+    List<String> wanted(Changes changes) {
+        return changes.changes().stream()
+                .filter(change -> RecordNames.isReplicated(change.name()))
+                .filter(change -> isWanted(change.name(), change.version()))
+                .map(Changes.Change::name)
+                .distinct()
+                .toList();
+    }
+
+    /** Reads records; one that does not exist is passed over. Calls exactly one of the two tasks. */
+    void read(Collection<String> names, Runnable done, Runnable failed) {
+        new Batch(names, done, failed).start();
+    }
+
+    private boolean isWanted(String name, long version) {
+        long known = records.store().read(name).map(entry -> entry.version()).orElse(0L);
+        return version > known || (records.regionOwners().containsKey(name) && !records.isReadFromPlatform(name));
+    }
+
+    /** Reads of one call. */
+    private final class Batch {
+        private final Deque<String> waiting;
+        private final Runnable done;
+        private final Runnable failed;
+        private int running;
+        private boolean ended;
+
+        Batch(Collection<String> names, Runnable done, Runnable failed) {
+            this.waiting = new ArrayDeque<>(names);
+            this.done = done;
+            this.failed = failed;
+        }
+
+        void start() {
+            if (waiting.isEmpty() && running == 0) {
+                end(done);
+            }
+            while (!waiting.isEmpty() && running < READS_AT_ONCE) {
+                running++;
+                loop.whenDone(platform.read(waiting.remove()), this::taken, code -> end(failed));
+            }
+        }
+
+        private void taken(Optional<StoredObject> found) {
+            running--;
+            found.ifPresent(object -> records.accept(object.name(), object.version(), object.value(), true));
+            if (!ended) {
+                start();
+            }
+        }
+
+        private void end(Runnable task) {
+            if (!ended) {
+                ended = true;
+                waiting.clear();
+                task.run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/Records.java
@@ -0,0 +1,166 @@
+package io.carawaylift.control;
+
+import io.carawaylift.decisions.replica.RecordDelta;
+import io.carawaylift.decisions.replica.ReplicaStore;
+import io.carawaylift.model.AcceptedTable;
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.RecordCodec;
+import io.carawaylift.model.RecordNames;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** The newest known records, decoded as far as decisions need them. Used on the decision thread only. */
+final class Records {
+    private static final Logger LOG = System.getLogger(Records.class.getName());
+
+    private final ReplicaStore store = new ReplicaStore();
+    private final String region;
+    private final Map<String, Owners> regionOwners = new TreeMap<>();
+    private final Map<String, EndpointList> regionLists = new TreeMap<>();
+    private final Set<String> readFromPlatform = new HashSet<>();
+    private final List<Listener> listeners = new ArrayList<>();
+    private AcceptedTable table;
+    private boolean synchronizedOnce;
+
+    Records(String region) {
+        this.region = region;
+    }
+
+    /** Adds a listener; listeners are called in the order in which they were added. */
+    void listen(Listener listener) {
+        listeners.add(listener);
+    }
+
+    ReplicaStore store() {
+        return store;
+    }
+
+    /** Returns the newest owners of the failure domains of the region, by record name. */
+    Map<String, Owners> regionOwners() {
+        return regionOwners;
+    }
+
+    /** Returns the endpoint lists of the region. */
+    Collection<EndpointList> regionLists() {
+        return regionLists.values();
+    }
+
+    Optional<AcceptedTable> table() {
+        return Optional.ofNullable(table);
+    }
+
+    /** Returns whether this process has read the record from the platform itself. */
+    boolean isReadFromPlatform(String name) {
+        return readFromPlatform.contains(name);
+    }
+
+    /** Returns whether the records were learned from the platform or from a peer that had learned them. */
+    boolean isSynchronized() {
+        return synchronizedOnce;
+    }
+
+    void markSynchronized() {
+        if (!synchronizedOnce) {
+            synchronizedOnce = true;
+            LOG.log(
+                    Level.INFO,
+                    "synchronized with {0} records",
+                    store.versions().size());
+            listeners.forEach(Listener::synchronizedOnce);
+        }
+    }
+
+    /** Takes a version of a record; an older one is ignored. */
+    void accept(String name, long version, RecordBytes value, boolean fromPlatform) {
+        if (!RecordNames.isReplicated(name)) {
+            return;
+        }
+        Optional<ReplicaStore.Entry> before = store.read(name);
+        boolean newer = store.offer(name, version, value);
+        accepted(name, before, newer, fromPlatform);
+    }
+
+    /** Takes a change of a record; returns false if the whole record is needed instead. */
+    boolean accept(String name, RecordDelta delta) {
+        Optional<ReplicaStore.Entry> before = store.read(name);
+        if (!RecordNames.isReplicated(name) || !store.offer(name, delta)) {
+            return false;
+        }
+        long versionBefore = before.map(ReplicaStore.Entry::version).orElse(0L);
+        if (store.read(name).orElseThrow().version() > versionBefore) {
+            accepted(name, before, true, false);
+        }
+        return true;
+    }
+
+    private void accepted(String name, Optional<ReplicaStore.Entry> before, boolean newer, boolean fromPlatform) {
+        ReplicaStore.Entry entry = store.read(name).orElseThrow();
+        if (newer) {
+            decode(name, entry);
+        }
+        if (fromPlatform) {
+            readFromPlatform.add(name);
+        }
+        Owners owners = regionOwners.get(name);
+        if (owners != null && owners.version() == entry.version() && (newer || fromPlatform)) {
+            listeners.forEach(listener -> listener.ownersRead(name, owners, fromPlatform));
+        }
+        if (newer) {
+            listeners.forEach(listener -> listener.recordChanged(name, before));
+        }
+    }
+
+    private void decode(String name, ReplicaStore.Entry entry) {
+        try {
+            if (name.equals(RecordNames.TABLE)) {
+                table = RecordCodec.decode(entry.value(), AcceptedTable.class);
+            } else if (name.startsWith(RecordNames.OWNERS_PREFIX)) {
+                OwnersRecord record = RecordCodec.decode(entry.value(), OwnersRecord.class);
+                listeners.forEach(listener -> listener.membersRead(record));
+                if (region.equals(record.region())) {
+                    regionOwners.put(name, new Owners(entry.version(), record, System.nanoTime()));
+                }
+            } else if (name.startsWith(RecordNames.HOSTS_PREFIX)) {
+                EndpointList list = RecordCodec.decode(entry.value(), EndpointList.class);
+                if (region.equals(list.region())) {
+                    regionLists.put(name, list);
+                }
+            }
+        } catch (IllegalArgumentException e) {
+            // The last readable version stays in force here; the record is copied on all the same.
+            LOG.log(Level.ERROR, "record " + name + " version " + entry.version() + " cannot be read", e);
+        }
+    }
+
+    /**
+     * One version of a record {@code owners/}.
+     *
+     * @param knownSinceNanos when this process learned the version
+     */
+    record Owners(long version, OwnersRecord record, long knownSinceNanos) {}
+
+    /** Is told about records. */
+    interface Listener {
+        /** A newer record {@code owners/} of any region names these members. */
+        default void membersRead(OwnersRecord owners) {}
+
+        /** A record {@code owners/} of the region is newer, or was read again from the platform. */
+        default void ownersRead(String name, Owners owners, boolean fromPlatform) {}
+
+        /** A record is newer than before. */
+        default void recordChanged(String name, Optional<ReplicaStore.Entry> before) {}
+
+        /** The records were learned for the first time from the platform or a peer. */
+        default void synchronizedOnce() {}
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/Reporter.java
@@ -0,0 +1,48 @@
+package io.carawaylift.control;
+
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.peer.Message;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Runs a report for each failure domain that this host reports for. Used on the decision thread only. */
+final class Reporter {
+    private final ControlState state;
+    private final Map<String, DomainReport> reports = new HashMap<>();
+
+    Reporter(ControlState state) {
+        this.state = state;
+    }
+
+    /** Starts a round of each report; called once per heartbeat interval. */
+    void tick() {
+        for (String domain : reported()) {
+            reports.computeIfAbsent(domain, name -> new DomainReport(name, state, this::confirm))
+                    .round();
+        }
+    }
+
+    /** Returns the failure domains that this host reports for, as far as it knows. */
+    List<String> reported() {
+        Set<String> domains = new TreeSet<>(state.members().failureDomains());
+        state.records().regionLists().stream().map(EndpointList::failureDomain).forEach(domains::add);
+        long now = state.loop().nowNanos();
+        return domains.stream()
+                .filter(domain -> state.members()
+                        .reporter(domain, now)
+                        .filter(state.host().id()::equals)
+                        .isPresent())
+                .toList();
+    }
+
+    private void confirm(Message.HeartbeatConfirmed confirmed) {
+        if (confirmed.process().host().equals(state.host().id())) {
+            state.programs().confirm(confirmed);
+        } else {
+            state.peers().send(confirmed.process().host(), confirmed);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/io/carawaylift/control/StartRead.java
@@ -0,0 +1,34 @@
+package io.carawaylift.control;
+
+import io.carawaylift.platform.RetryPolicy;
+import java.time.Duration;
+
+/** Reads all records from the platform once after the start, however long that takes. Used on the decision thread only. */
+final class StartRead {
+    private final RecordReader reader;
+    private final DecisionLoop loop;
+    private final RetryPolicy retry;
+    private final Runnable done;
+    private int failures;
+
+    StartRead(RecordReader reader, DecisionLoop loop, RetryPolicy retry, Runnable done) {
+        this.reader = reader;
+        this.loop = loop;
+        this.retry = retry;
+        this.done = done;
+    }
+
+    /** Starts after a delay, in which peers may already deliver most records. */
+    void start(Duration delay) {
+        loop.after(delay, this::read);
+    }
+
+    private void read() {
+        reader.refresh("", revision -> done.run(), this::failed);
+    }
+
+    private void failed() {
+        failures++;
+        loop.after(retry.delay(failures), this::read);
+    }
+}
--- a/control/src/main/java/io/carawaylift/control/package-info.java
+++ b/control/src/main/java/io/carawaylift/control/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** The control program: copies the table, keeps membership and ownership, and makes the calls to the platform. */
 package io.carawaylift.control;
