--- a/testing/src/main/java/io/carawaylift/testing/measure/package-info.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of the decisions: admission in virtual time and the address map in real time. */
+/** Seeded randomised runs and measurements of the decisions. */
 package io.carawaylift.testing.measure;
