--- a/entry/src/main/java/io/carawaylift/entry/AdminPages.java
+++ b/entry/src/main/java/io/carawaylift/entry/AdminPages.java
@@ -90,8 +90,8 @@
             for (Rank rank : Rank.values()) {
                 waiting.put(rank.label(), load.load().waiting().get(rank));
             }
-            found.add(new UpstreamStatus(
-                    upstream, load.usableSlots(), load.load().inFlight(), waiting));
+            found.add(
+                    new UpstreamStatus(upstream, load.usableSlots(), load.load().inFlight(), waiting));
         });
         return found;
     }
--- a/entry/src/main/java/io/carawaylift/entry/AnswerClassifier.java
+++ b/entry/src/main/java/io/carawaylift/entry/AnswerClassifier.java
@@ -36,8 +36,8 @@
             return new Unknown(ResultCode.CONNECTION_LOST, "answer of an entry process without a result code");
         }
         return switch (code.get().outcome()) {
-            case ANSWERED -> answer.as(
-                    code.get(), answer.headers().first(Headers.ENDPOINT).orElse(""));
+            case ANSWERED ->
+                answer.as(code.get(), answer.headers().first(Headers.ENDPOINT).orElse(""));
             case NOT_RUN -> new Refused(code.get(), detail, retryAfterMs(answer), true);
             case UNKNOWN -> new Unknown(code.get(), detail);
             case NOT_A_REQUEST -> new Unknown(ResultCode.CONNECTION_LOST, detail);
@@ -54,7 +54,10 @@
 
     private static long retryAfterMs(Answered answer) {
         try {
-            return Math.max(1, Long.parseLong(answer.headers().first("Retry-After").orElse("1"))) * MS_PER_SECOND;
+            return Math.max(
+                            1,
+                            Long.parseLong(answer.headers().first("Retry-After").orElse("1")))
+                    * MS_PER_SECOND;
         } catch (NumberFormatException e) {
             return MS_PER_SECOND;
         }
--- a/entry/src/main/java/io/carawaylift/entry/BodyCopy.java
+++ b/entry/src/main/java/io/carawaylift/entry/BodyCopy.java
@@ -79,7 +79,9 @@
             return;
         }
         byte[] piece = new byte[PIECE_BYTES];
-        for (int count = read(answer.rest().get(), piece); count >= 0; count = read(answer.rest().get(), piece)) {
+        for (int count = read(answer.rest().get(), piece);
+                count >= 0;
+                count = read(answer.rest().get(), piece)) {
             left = write(ByteString.of(piece, 0, count), left);
         }
     }
@@ -145,7 +147,10 @@
 
     /** Returns the entity tag, or an empty text if there is none or it is a weak one. */
     private static String strongTag(Answered answer) {
-        return answer.headers().first("ETag").filter(tag -> tag.startsWith("\"")).orElse("");
+        return answer.headers()
+                .first("ETag")
+                .filter(tag -> tag.startsWith("\""))
+                .orElse("");
     }
 
     /** The upstream's side failed, not the caller's. */
--- a/entry/src/main/java/io/carawaylift/entry/CallerHandler.java
+++ b/entry/src/main/java/io/carawaylift/entry/CallerHandler.java
@@ -83,8 +83,7 @@
     }
 
     private void dispatch(ChannelHandlerContext context) {
-        RawRequest request =
-                new RawRequest(head.method().name(), head.uri(), headers(head), body.readByteString());
+        RawRequest request = new RawRequest(head.method().name(), head.uri(), headers(head), body.readByteString());
         boolean keepAlive = HttpUtil.isKeepAlive(head) && !state.isClosing();
         HttpRequest current = head;
         head = null;
@@ -128,7 +127,7 @@
         releaseMemory();
         state.ended();
         if (discarding) {
-            context.close(context.voidPromise());
+            close(context);
         }
     }
 
@@ -163,7 +162,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof IdleStateEvent && response == null) {
-            context.close(context.voidPromise());
+            close(context);
         }
     }
 
@@ -171,7 +170,11 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         System.getLogger(CallerHandler.class.getName())
                 .log(System.Logger.Level.DEBUG, "connection of a caller failed", cause);
-        context.close(context.voidPromise());
+        close(context);
+    }
+
+    private static void close(ChannelHandlerContext context) {
+        var unused = context.close();
     }
 
     private static HeaderList headers(HttpRequest request) {
--- a/entry/src/main/java/io/carawaylift/entry/CallerServer.java
+++ b/entry/src/main/java/io/carawaylift/entry/CallerServer.java
@@ -71,8 +71,7 @@
         }
         serverChannel.close().awaitUninterruptibly();
         state.closeAll();
-        group.shutdownGracefully(QUIET_MS, STOP_LIMIT_MS, TimeUnit.MILLISECONDS)
-                .awaitUninterruptibly();
+        group.shutdownGracefully(QUIET_MS, STOP_LIMIT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 
     private static final class Initializer extends ChannelInitializer<SocketChannel> {
--- a/entry/src/main/java/io/carawaylift/entry/ControlRecords.java
+++ b/entry/src/main/java/io/carawaylift/entry/ControlRecords.java
@@ -1,6 +1,7 @@
 package io.carawaylift.entry;
 
 import io.carawaylift.model.AcceptedTable;
+import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.EndpointList;
 import io.carawaylift.model.OwnersRecord;
 import io.carawaylift.model.RecordBytes;
@@ -36,6 +37,9 @@
 
         /** Takes that the platform holds a heartbeat of this process. */
         void confirmed(long heartbeat);
+
+        /** Takes that a record broke a rule. */
+        void violation(String name, RuntimeException fault);
     }
 
     ControlRecords(LeaseBook leases, Consumers consumers) {
@@ -100,10 +104,19 @@
         owners.forEach((name, record) -> {
             long version = versions.get(name);
             if (version > appliedOwners.getOrDefault(name, 0L)) {
-                leases.ownersChanged(name, version, record, topology);
                 appliedOwners.put(name, version);
+                takeOwners(name, version, record, topology);
             }
         });
         consumers.topology(topology);
     }
+
+    /** A record that breaks the lease rules is a fault of ours; the others must still come into force. */
+    private void takeOwners(String name, long version, OwnersRecord record, Topology topology) {
+        try {
+            leases.ownersChanged(name, version, record, topology);
+        } catch (CarawayliftException e) {
+            consumers.violation(name, e);
+        }
+    }
 }
--- a/entry/src/main/java/io/carawaylift/entry/DecisionRecord.java
+++ b/entry/src/main/java/io/carawaylift/entry/DecisionRecord.java
@@ -34,6 +34,5 @@
      * @param waitMillis time in the queue of this process
      * @param reason what the code does not say
      */
-    record AttemptRecord(
-            String upstream, String owner, String endpoint, double waitMillis, int code, String reason) {}
+    record AttemptRecord(String upstream, String owner, String endpoint, double waitMillis, int code, String reason) {}
 }
--- a/entry/src/main/java/io/carawaylift/entry/EntryMetrics.java
+++ b/entry/src/main/java/io/carawaylift/entry/EntryMetrics.java
@@ -70,7 +70,11 @@
     }
 
     private void gauge(String name, Shards shards, String upstream, ToDoubleFunction<Shards.UpstreamLoad> value) {
-        Gauge.builder(name, shards, source -> source.load(upstream).map(value::applyAsDouble).orElse(0.0))
+        Gauge.builder(
+                        name,
+                        shards,
+                        source ->
+                                source.load(upstream).map(value::applyAsDouble).orElse(0.0))
                 .tag("upstream", upstream)
                 .register(registry);
     }
--- a/entry/src/main/java/io/carawaylift/entry/EntryService.java
+++ b/entry/src/main/java/io/carawaylift/entry/EntryService.java
@@ -40,6 +40,7 @@
     private final ControlRecords records;
     private final JoinTime joinTime = new JoinTime();
     private volatile MemberState state = MemberState.JOINING;
+    private final Heartbeats heartbeats;
     private volatile boolean started;
 
     /**
@@ -74,20 +75,19 @@
         serverState = new ServerState(router, clock);
         server = new CallerServer(settings.host().address(), settings.port(), serverState);
         pages.set(new AdminPages(
-                self,
-                new AdminPages.Sources(steering, shards, log, () -> state, serverState::inFlight, clock)));
+                self, new AdminPages.Sources(steering, shards, log, () -> state, serverState::inFlight, clock)));
         link = links.apply(
                 new ControlLink.Identity("entry", self, ProcessHandle.current().pid()));
         records = new ControlRecords(leases, this);
+        heartbeats = new Heartbeats(link, leases, shards, this::member, steering::topology, clock);
     }
 
     @Override
     public void start() {
         server.start();
         admin.start();
-        Heartbeats heartbeats = new Heartbeats(link, leases, shards, this::member, steering::topology, clock);
         link.start(records);
-        repeat("heartbeat", heartbeats::send, HEARTBEAT_MS);
+        repeat("heartbeat", this::heartbeat, HEARTBEAT_MS);
         repeat("link shares", this::updateLinks, HEARTBEAT_MS);
         repeat("queues", shards::tick, SHARD_TICK_MS);
         started = true;
@@ -113,6 +113,11 @@
         joinTime.confirmed(clock.getAsLong());
     }
 
+    @Override
+    public void violation(String name, RuntimeException fault) {
+        metrics.violation(name, fault);
+    }
+
     /**
      * Serves until callers have stopped using this process and nothing is in flight, then closes everything. Endpoints are
      * given away meanwhile, because heartbeats say that the process leaves.
@@ -125,6 +130,11 @@
         state = MemberState.LEAVING;
         serverState.closeAfterAnswers();
         new GracefulStop(settings.stopLimit(), clock).await(this::lookupLifetimeMs, this::isServed);
+        abort();
+    }
+
+    /** Closes everything at once. */
+    void abort() {
         server.stop();
         link.stop();
         ticks.shutdownNow();
@@ -133,6 +143,11 @@
         admin.stop();
     }
 
+    /** Sends a heartbeat now. */
+    void heartbeat() {
+        heartbeats.send();
+    }
+
     private boolean isServed() {
         Topology topology = steering.topology();
         boolean ownsNothing = topology == null || !topology.ownsAny(self);
--- a/entry/src/main/java/io/carawaylift/entry/EntrySettings.java
+++ b/entry/src/main/java/io/carawaylift/entry/EntrySettings.java
@@ -30,7 +30,7 @@
     private static final int DEFAULT_MAX_CALLS = 1024;
     private static final int LIMIT_OF_MAX_CALLS = 8192;
     private static final Duration DEFAULT_SLOW = Duration.ofSeconds(1);
-    private static final Duration DEFAULT_STOP_LIMIT = Duration.ofSeconds(120);
+    private static final Duration DEFAULT_STOP_LIMIT = Duration.ofMinutes(2);
     private static final Duration SHORTEST = Duration.ofMillis(1);
     private static final Duration LONGEST = Duration.ofHours(1);
 
--- a/entry/src/main/java/io/carawaylift/entry/Heartbeats.java
+++ b/entry/src/main/java/io/carawaylift/entry/Heartbeats.java
@@ -12,7 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
-/** Makes the heartbeat of each second. Used by one thread. */
+/** Makes the heartbeat of each second. Thread-safe. */
 final class Heartbeats {
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -45,7 +45,7 @@
     }
 
     /** Sends the next heartbeat. The lease guard is told before, so that no lease is counted from too late a time. */
-    void send() {
+    synchronized void send() {
         number++;
         MemberReport report = report();
         leases.heartbeatSent(number);
@@ -64,7 +64,8 @@
         beforeNanos = now;
         List<UpstreamMeasure> measures = new ArrayList<>();
         shards.localLoads().forEach((upstream, load) -> {
-            Counters counters = new Counters(load.load().dispatched(), load.load().refused());
+            Counters counters =
+                    new Counters(load.load().dispatched(), load.load().refused());
             Counters old = before.getOrDefault(upstream, new Counters(0, 0));
             before.put(upstream, counters);
             measures.add(new UpstreamMeasure(
--- a/entry/src/main/java/io/carawaylift/entry/OnceRequests.java
+++ b/entry/src/main/java/io/carawaylift/entry/OnceRequests.java
@@ -59,10 +59,7 @@
      * @return what to do when the caller leaves
      */
     Runnable attempt(
-            Ticket ticket,
-            InboundRequest request,
-            ResultReceiver receiver,
-            Function<ResultReceiver, RequestRun> runs) {
+            Ticket ticket, InboundRequest request, ResultReceiver receiver, Function<ResultReceiver, RequestRun> runs) {
         Waiter waiter = new Waiter(receiver);
         Attempt<Answered> attempt;
         synchronized (lock) {
--- a/entry/src/main/java/io/carawaylift/entry/OutboundCalls.java
+++ b/entry/src/main/java/io/carawaylift/entry/OutboundCalls.java
@@ -141,11 +141,12 @@
     /** A body that ends with its connection cannot be told from one cut off by the end of the upstream's process. */
     private static void requireVerifiableEnd(Response response, CallProgress progress, HeaderList headers)
             throws IOException {
-        boolean noBody = response.request().method().equals("HEAD")
-                || progress.status() == 204
-                || progress.status() == 304;
+        boolean noBody =
+                response.request().method().equals("HEAD") || progress.status() == 204 || progress.status() == 304;
         boolean framed = headers.first("Content-Length").isPresent()
-                || headers.first("Transfer-Encoding").map("chunked"::equalsIgnoreCase).orElse(false);
+                || headers.first("Transfer-Encoding")
+                        .map("chunked"::equalsIgnoreCase)
+                        .orElse(false);
         if (!noBody && !framed) {
             throw new IOException("the answer has neither a length nor chunks, so its end cannot be verified");
         }
--- a/entry/src/main/java/io/carawaylift/entry/OwnAnswers.java
+++ b/entry/src/main/java/io/carawaylift/entry/OwnAnswers.java
@@ -42,7 +42,8 @@
         try {
             return ByteString.encodeUtf8(MAPPER.writeValueAsString(value));
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("cannot write a " + value.getClass().getName() + " as JSON", e);
+            throw new IllegalArgumentException(
+                    "cannot write a " + value.getClass().getName() + " as JSON", e);
         }
     }
 
--- a/entry/src/main/java/io/carawaylift/entry/RequestReader.java
+++ b/entry/src/main/java/io/carawaylift/entry/RequestReader.java
@@ -124,8 +124,7 @@
         try {
             return Long.parseLong(text.strip());
         } catch (NumberFormatException e) {
-            throw new CarawayliftException(
-                    ResultCode.BAD_REQUEST, name + " '" + text + "' is not a whole number", e);
+            throw new CarawayliftException(ResultCode.BAD_REQUEST, name + " '" + text + "' is not a whole number", e);
         }
     }
 
--- a/entry/src/main/java/io/carawaylift/entry/RequestRouter.java
+++ b/entry/src/main/java/io/carawaylift/entry/RequestRouter.java
@@ -70,8 +70,8 @@
         Refused refused =
                 switch (fault) {
                     case MALFORMED -> Refused.of(ResultCode.BAD_REQUEST, "malformed HTTP");
-                    case BODY_TOO_LARGE -> Refused.of(
-                            ResultCode.BODY_TOO_LARGE, "limit " + ServerState.MAX_BODY_BYTES + " bytes");
+                    case BODY_TOO_LARGE ->
+                        Refused.of(ResultCode.BODY_TOO_LARGE, "limit " + ServerState.MAX_BODY_BYTES + " bytes");
                     case NO_MEMORY -> Refused.of(ResultCode.QUEUE_FULL, "too many request bodies in memory");
                 };
         finish(response, trace(raw), refused);
@@ -178,8 +178,7 @@
     /** Ids start with the host id, so that an operator knows which host to ask. */
     private String newId() {
         String number = Long.toString(requests.incrementAndGet(), RADIX);
-        return String.format(
-                Locale.ROOT, "%s.%s.%s", self.host(), Long.toString(self.incarnation(), RADIX), number);
+        return String.format(Locale.ROOT, "%s.%s.%s", self.host(), Long.toString(self.incarnation(), RADIX), number);
     }
 
     private static void finish(CallerResponse response, RequestTrace trace, AttemptResult result) {
--- a/entry/src/main/java/io/carawaylift/entry/RequestRun.java
+++ b/entry/src/main/java/io/carawaylift/entry/RequestRun.java
@@ -179,8 +179,7 @@
 
     private synchronized void scheduleHedge() {
         if (!finished) {
-            hedge = means.timer()
-                    .newTimeout(timeout -> hedge(), service.hedgeDelayNanos(), TimeUnit.NANOSECONDS);
+            hedge = means.timer().newTimeout(timeout -> hedge(), service.hedgeDelayNanos(), TimeUnit.NANOSECONDS);
         }
     }
 
