Wait hold plus margin wherever work of an earlier owner must be over

Its clock may run faster than the time by which that work lasts, so it starts while work is in flight. Ruled out: a hole in takeover or release; the two failures have a restarted or replaced earlier owner and one request too many.

--- a/decisions/src/main/java/io/carawaylift/decisions/ownership/HeldEndpoint.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/HeldEndpoint.java
@@ -9,6 +9,7 @@
 final class HeldEndpoint {
     private final String recordName;
     private Ownership ownership;
+    private final LeaseTimes times;
     private final long readyNanos;
     private long allReadyNanos;
 
@@ -21,6 +22,7 @@
     HeldEndpoint(String recordName, Ownership ownership, long holdNanos, LeaseTimes times, long nowNanos) {
         this.recordName = recordName;
         this.ownership = ownership;
+        this.times = times;
         this.readyNanos = nowNanos + waitAfterTakeover(ownership, holdNanos, times);
         this.allReadyNanos = readyNanos;
     }
@@ -29,7 +31,13 @@
         if (!ownership.takenOver()) {
             return 0;
         }
-        return ownership.mode() == OwnershipMode.HALF ? times.lease() + times.margin() + holdNanos : holdNanos;
+        long workOver = workOver(holdNanos, times);
+        return ownership.mode() == OwnershipMode.HALF ? times.lease() + workOver : workOver;
+    }
+
+    /** Returns a hold on this process's clock, which may be faster by the margin than the clock that the work runs by. */
+    private static long workOver(long holdNanos, LeaseTimes times) {
+        return holdNanos + times.margin();
     }
 
     /** Takes a newer entry of the same epoch. */
@@ -40,7 +48,7 @@
                     "endpoint " + newer.endpoint() + " went from FULL to HALF within epoch " + newer.epoch());
         }
         if (ownership.mode() == OwnershipMode.HALF && newer.mode() == OwnershipMode.FULL) {
-            allReadyNanos = Math.max(readyNanos, nowNanos + holdNanos);
+            allReadyNanos = Math.max(readyNanos, nowNanos + workOver(holdNanos, times));
         }
         ownership = newer;
     }
--- a/testing/src/main/java/io/carawaylift/testing/measure/OwnershipFaults.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/OwnershipFaults.java
@@ -1,24 +1,40 @@
 package io.carawaylift.testing.measure;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 
-/** Injects random faults into a world; several can be in force at once. */
+/**
+ * Injects random faults into a world; several can be in force at once. Each seed uses a random subset of the kinds of faults,
+ * because rare combinations of few kinds are seldom met when all kinds occur.
+ */
 final class OwnershipFaults {
     private static final long MILLISECOND = 1_000_000L;
+    private static final int KINDS = 16;
 
     private final OwnershipWorld world;
     private final Random random;
+    private final List<Integer> kinds = new ArrayList<>();
+    private final int healOneIn;
 
     OwnershipFaults(OwnershipWorld world) {
         this.world = world;
         this.random = world.random();
+        for (int kind = 0; kind < KINDS; kind++) {
+            if (random.nextInt(3) == 0) {
+                kinds.add(kind);
+            }
+        }
+        if (kinds.isEmpty()) {
+            kinds.add(random.nextInt(KINDS));
+        }
+        healOneIn = 2 + random.nextInt(8);
     }
 
     /** Injects one fault or ends the network and platform faults. */
     void inject() {
         String host = world.randomHost();
-        switch (random.nextInt(16)) {
+        switch (kinds.get(random.nextInt(kinds.size()))) {
             case 0 -> world.restartEntry(host);
             case 1 -> world.restartControl(host);
             case 2 -> world.restartHost(host);
@@ -37,7 +53,7 @@
             case 15 -> world.leave(host);
             default -> throw new AssertionError();
         }
-        if (random.nextInt(5) == 0) {
+        if (random.nextInt(healOneIn) == 0) {
             world.heal();
         }
         if (random.nextInt(200) == 0) {
--- a/testing/src/main/java/io/carawaylift/testing/measure/OwnershipRun.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/OwnershipRun.java
@@ -51,9 +51,10 @@
         OwnershipWorld world = new OwnershipWorld(seed, disabled);
         OwnershipFaults faults = new OwnershipFaults(world);
         EventQueue events = world.events();
+        long interval = (1 + world.random().nextInt(12)) * SECOND;
         events.runUntil(20 * SECOND);
         while (events.now() < 220 * SECOND) {
-            events.runUntil(events.now() + (long) (world.random().nextDouble() * 8 * SECOND));
+            events.runUntil(events.now() + (long) (world.random().nextDouble() * interval));
             world.checkEpochs();
             faults.inject();
         }
