Count a refused request as outstanding for one second in the measurement

Cause: an owner that refuses by estimate kept the least outstanding work and drew the requests of every customer, so customers without a backlog were refused with the flood. Ruled out: a fault of the turns by customer; a trace of the refusals showed 8 to 15 waiting per customer at the small owners and none elsewhere. Choosing the better of two random owners was ruled out because it changes the selector's contract.

--- a/testing/src/main/java/io/carawaylift/testing/measure/OwnerQueues.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/OwnerQueues.java
@@ -7,7 +7,9 @@
 import io.carawaylift.decisions.steering.OwnerSelector.Candidate;
 import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.Rank;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +21,12 @@
  */
 final class OwnerQueues implements Policy {
     private static final int CAPACITY = 512;
+    /**
+     * How long a refused request counts as outstanding at the owner that refused it. Without this an owner that refuses looks
+     * least loaded and draws the requests of all customers.
+     */
+    private static final long REFUSAL_COUNTS_NANOS = Traffic.SECOND;
+
     private static final List<Rank> RANKS = List.of(Rank.values());
 
     private final OwnerSelector selector = new OwnerSelector();
@@ -29,6 +37,7 @@
     /** Unfinished requests by entry process, owner and rank. */
     private final int[][][] outstanding;
 
+    private final Deque<Refused> refused = new ArrayDeque<>();
     private final Size size;
 
     OwnerQueues(Size size) {
@@ -57,12 +66,17 @@
     @Override
     public void arrived(Request request, Simulation simulation) {
         int entry = (int) Math.floorMod((request.id() * 0x9E3779B97F4A7C15L) >>> 32, (long) size.hosts());
+        while (!refused.isEmpty() && refused.peek().untilNanos() <= simulation.nowNanos()) {
+            leave(refused.remove().sent());
+        }
         int owner = owner(entry, request.rank(), request.id());
         Sent sent = new Sent(request, entry, owner);
         Work<Sent> work = new Work<>(request.id(), request.rank(), request.customer(), request.deadlineNanos(), sent);
         Offer<Sent> offer = queues.get(owner).offer(work, simulation.nowNanos());
-        if (offer.refusal().isEmpty()) {
-            outstanding[entry][owner][RANKS.indexOf(request.rank())]++;
+        outstanding[entry][owner][RANKS.indexOf(request.rank())]++;
+        if (offer.refusal().isPresent()) {
+            refused.add(new Refused(sent, simulation.nowNanos() + REFUSAL_COUNTS_NANOS));
+        } else {
             offer.displaced().ifPresent(displaced -> leave(displaced.payload()));
             start(owner, simulation);
         }
@@ -135,4 +149,6 @@
 
     /** A request with the entry process that took it and the owner that got it. */
     private record Sent(Request request, int entry, int owner) {}
+
+    private record Refused(Sent sent, long untilNanos) {}
 }
