Forward a request end to end through entry process and owner

Ruled out: - Before: not compiled. After: a request reaches an endpoint directly and through another owner; test with two entry processes in one test process.

--- a/entry/src/main/java/io/carawaylift/entry/NettyResponse.java
+++ b/entry/src/main/java/io/carawaylift/entry/NettyResponse.java
@@ -77,7 +77,7 @@
         } else if (!http10) {
             HttpUtil.setTransferEncodingChunked(response, true);
         }
-        channel.writeAndFlush(response, channel.voidPromise());
+        ignore(channel.writeAndFlush(response));
         return new Writer(deadlineNanos);
     }
 
@@ -175,8 +175,7 @@
         @Override
         public void write(ByteString bytes) throws IOException {
             awaitWritable();
-            channel.writeAndFlush(
-                    new DefaultHttpContent(Unpooled.wrappedBuffer(bytes.toByteArray())), channel.voidPromise());
+            ignore(channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes.toByteArray()))));
         }
 
         @Override
--- a/entry/src/test/java/io/carawaylift/entry/EntryCluster.java
+++ b/entry/src/test/java/io/carawaylift/entry/EntryCluster.java
@@ -92,7 +92,7 @@
     void publish() {
         control.publish(
                 RecordNames.TABLE,
-                new AcceptedTable(1, "c1", "test", "test", "2026-01-01T00:00:00Z", Table.parse(TABLE)));
+                new AcceptedTable(1, "c1", "test", "test", "2026-01-01T00:00:00Z", List.of(), Table.parse(TABLE)));
         control.publish(RecordNames.hosts("r-a"), new EndpointList("r-a", "r", endpoints, List.of()));
         publishOwners(owners);
         control.synchronizeAll();
