Add cluster tests of the control program

Cause: the control program had not run yet. Before: no run. After: five tests with several control programs in one JVM. Ruled out: a mocked PlatformClient; the HTTP adapter is part of the run.

--- a/control/src/main/java/io/carawaylift/control/ControlParts.java
+++ b/control/src/main/java/io/carawaylift/control/ControlParts.java
@@ -2,8 +2,8 @@
 
 import io.carawaylift.platform.RetryPolicy;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 
 /** The parts of a control program and what they do in each interval. Used on the decision thread once running. */
@@ -18,7 +18,7 @@
     private final EndedWatch endedWatch;
     private final PlatformWatch watch;
 
-    ControlParts(ControlState state, SplittableRandom random, LongFunction<Optional<ProcessHandle>> processes) {
+    ControlParts(ControlState state, SplittableRandom random, LongFunction<BooleanSupplier> processes) {
         this.state = state;
         heartbeats = new Heartbeats(state);
         successor = new Successor(state, heartbeats, retry(random));
--- a/control/src/main/java/io/carawaylift/control/ControlService.java
+++ b/control/src/main/java/io/carawaylift/control/ControlService.java
@@ -14,8 +14,8 @@
 import io.carawaylift.runtime.Settings;
 import java.time.Duration;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 
 /** The control program of one host as a service. Built by {@link #builder}. */
@@ -27,7 +27,7 @@
 
     private final ControlSettings settings;
     private final LeaseTimes times;
-    private final LongFunction<Optional<ProcessHandle>> processes;
+    private final LongFunction<BooleanSupplier> processes;
     private final SplittableRandom random;
     private final AdminServer admin;
     private DecisionLoop loop;
@@ -99,6 +99,13 @@
                 new LocalPrograms(records));
     }
 
+    /** A handle also knows the start time, so a later process with the same id does not count. */
+    private static BooleanSupplier isAlive(long processId) {
+        return ProcessHandle.of(processId)
+                .<BooleanSupplier>map(handle -> handle::isAlive)
+                .orElse(() -> false);
+    }
+
     private void run(ControlParts parts) {
         Duration heartbeat = Duration.ofNanos(times.heartbeat());
         state.peers().connect(settings.seeds());
@@ -129,7 +136,7 @@
     public static final class Builder {
         private Settings settings;
         private LeaseTimes times = LeaseTimes.DEFAULT;
-        private LongFunction<Optional<ProcessHandle>> processes = ProcessHandle::of;
+        private LongFunction<BooleanSupplier> processes = ControlService::isAlive;
 
         private Builder() {}
 
@@ -145,8 +152,8 @@
             return this;
         }
 
-        /** Sets how process ids of entry programs are looked up. */
-        public Builder processes(LongFunction<Optional<ProcessHandle>> lookup) {
+        /** Sets what tells whether the process that has an id now still runs. */
+        public Builder processes(LongFunction<BooleanSupplier> lookup) {
             this.processes = Objects.requireNonNull(lookup, "lookup");
             return this;
         }
--- a/control/src/main/java/io/carawaylift/control/EndedWatch.java
+++ b/control/src/main/java/io/carawaylift/control/EndedWatch.java
@@ -10,8 +10,8 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 
 /**
@@ -25,11 +25,11 @@
 
     private final ControlState state;
     private final Heartbeats heartbeats;
-    private final LongFunction<Optional<ProcessHandle>> processes;
-    private final Map<EntryProcess, ProcessHandle> running = new LinkedHashMap<>();
+    private final LongFunction<BooleanSupplier> processes;
+    private final Map<EntryProcess, BooleanSupplier> running = new LinkedHashMap<>();
     private final Map<EntryProcess, Integer> reports = new HashMap<>();
 
-    EndedWatch(ControlState state, Heartbeats heartbeats, LongFunction<Optional<ProcessHandle>> processes) {
+    EndedWatch(ControlState state, Heartbeats heartbeats, LongFunction<BooleanSupplier> processes) {
         this.state = state;
         this.heartbeats = heartbeats;
         this.processes = processes;
@@ -37,19 +37,14 @@
 
     /** Watches an entry process of this host. */
     void connected(EntryProcess process, long processId) {
-        Optional<ProcessHandle> handle = processes.apply(processId);
-        if (handle.isPresent()) {
-            running.put(process, handle.get());
-        } else {
-            ended(process);
-        }
+        running.put(process, processes.apply(processId));
     }
 
     /** Looks at all processes and reports those that ended; called once per heartbeat interval. */
     void tick() {
-        Map<EntryProcess, ProcessHandle> before = new LinkedHashMap<>(running);
-        before.forEach((process, handle) -> {
-            if (!handle.isAlive()) {
+        Map<EntryProcess, BooleanSupplier> before = new LinkedHashMap<>(running);
+        before.forEach((process, alive) -> {
+            if (!alive.getAsBoolean()) {
                 running.remove(process);
                 ended(process);
             }
--- /dev/null
+++ b/control/src/test/java/io/carawaylift/control/ControlClusterTest.java
@@ -0,0 +1,307 @@
+package io.carawaylift.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.carawaylift.decisions.ownership.LeaseTimes;
+import io.carawaylift.model.AcceptedTable;
+import io.carawaylift.model.Endpoint;
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.Member;
+import io.carawaylift.model.MemberState;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.OwnershipMode;
+import io.carawaylift.model.Rank;
+import io.carawaylift.model.RecordNames;
+import io.carawaylift.model.RegionRow;
+import io.carawaylift.model.ServiceRow;
+import io.carawaylift.model.Table;
+import io.carawaylift.model.UpstreamRow;
+import io.carawaylift.runtime.Settings;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Several control programs on loopback: hosts a1 and a2 in failure domain fd-a, b1 in fd-b, one region. */
+final class ControlClusterTest {
+    private static final long MILLI = 1_000_000L;
+    private static final LeaseTimes TIMES = new LeaseTimes(100 * MILLI, 1_500 * MILLI, 300 * MILLI);
+    private static final long WAIT_SECONDS = 40;
+    private static final String REGION = "huye";
+
+    private final MemoryPlatform platform = new MemoryPlatform();
+    private final Map<String, Host> hosts = new TreeMap<>();
+
+    @BeforeEach
+    void start() throws IOException {
+        platform.put(RecordNames.hosts("fd-a"), endpoints("fd-a", "a1", "a2"));
+        platform.put(RecordNames.hosts("fd-b"), endpoints("fd-b", "b1", "b2"));
+        platform.put(RecordNames.TABLE, table(1));
+        startHost("a1", "fd-a");
+        startHost("a2", "fd-a");
+        startHost("b1", "fd-b");
+    }
+
+    @AfterEach
+    void stop() {
+        hosts.values().forEach(Host::stop);
+        platform.close();
+    }
+
+    @Test
+    void ownersArePlannedAndEveryHeartbeatIsConfirmedAndAcknowledged() {
+        awaitOwners(
+                "fd-a",
+                record -> record.members().size() == 2
+                        && record.endpoints().size() == 2
+                        && record.endpoints().stream().allMatch(entry -> "b1".equals(entry.successor())));
+        awaitOwners(
+                "fd-b",
+                record -> record.endpoints().size() == 2
+                        && record.endpoints().stream()
+                                .allMatch(entry -> entry.owner().host().equals("b1")));
+        for (Host host : hosts.values()) {
+            await(host.id + " is synchronized", host.entry::isSynchronized);
+            long sent = host.entry.lastHeartbeat();
+            await(host.id + " is confirmed", () -> host.entry.lastConfirmed() > sent);
+            await(host.id + " is acknowledged", () -> host.entry.lastAcknowledged() > sent);
+        }
+        assertThat(host("a1").service.status().read().roles().reporterOf()).containsExactly("fd-a");
+        assertThat(host("a2").service.status().read().roles().agent()).isTrue();
+    }
+
+    /** Guards against a host that only learns a table from the platform itself. */
+    @Test
+    void aTableReachesAllHostsAlsoWhileSomeCannotReachThePlatform() {
+        awaitPlanned();
+        platform.put(RecordNames.TABLE, table(2));
+        hosts.values().forEach(host -> await(host.id + " has table 2", () -> host.entry.version("table") == 2));
+
+        host("b1").gate.setOpen(false);
+        platform.put(RecordNames.TABLE, table(3));
+        hosts.values().forEach(host -> await(host.id + " has table 3", () -> host.entry.version("table") == 3));
+    }
+
+    /** Guards against owners that lose their slots, and hosts that cannot start, because the platform is down. */
+    @Test
+    void anOutageKeepsAcknowledgementsAndStartsAHostFromItsPeers() throws IOException {
+        awaitPlanned();
+        hosts.values().forEach(host -> host.gate.setOpen(false));
+        for (Host host : hosts.values()) {
+            await(host.id + " lost the platform", () -> failedWrites(host) > 0 || !isReporter(host));
+            long sent = host.entry.lastHeartbeat();
+            await(host.id + " is acknowledged", () -> host.entry.lastAcknowledged() > sent);
+        }
+
+        Host joined = startHost("b2", "fd-b", false);
+        await("b2 is synchronized", joined.entry::isSynchronized);
+        assertThat(joined.entry.version(RecordNames.TABLE)).isEqualTo(1);
+        assertThat(joined.service.status().read().platformCalls().get("list").failed())
+                .isEqualTo(joined.service
+                        .status()
+                        .read()
+                        .platformCalls()
+                        .get("list")
+                        .started());
+
+        hosts.values().forEach(host -> host.gate.setOpen(true));
+        awaitOwners("fd-b", record -> record.members().size() == 2);
+        long sent = host("a1").entry.lastHeartbeat();
+        await("a1 is confirmed again", () -> host("a1").entry.lastConfirmed() > sent);
+    }
+
+    /** Guards against a silent host that stays named in answers, and against endpoints that are lost with it. */
+    @Test
+    void aSilentHostIsSuspectedAndItsEndpointsAreTakenOverWithHalf() {
+        awaitPlanned();
+        EntryProcess owner = host("b1").entry.process();
+
+        host("b1").stop();
+
+        awaitOwners(
+                "fd-b",
+                record -> record.members().stream()
+                        .anyMatch(member -> member.process().equals(owner) && member.state() == MemberState.SUSPECTED));
+        awaitOwners(
+                "fd-b",
+                record -> record.endpoints().stream()
+                        .allMatch(entry -> entry.mode() == OwnershipMode.HALF
+                                && entry.takenOver()
+                                && owner.equals(entry.previous())
+                                && entry.owner().host().startsWith("a")));
+    }
+
+    /** Guards against waiting for a process that its own host knows to be gone. */
+    @Test
+    void anEntryProcessWhoseIdIsGoneIsTakenOverWithAllSlots() {
+        awaitPlanned();
+        EntryProcess owner = host("b1").entry.process();
+
+        host("b1").entry.close();
+        host("b1").alive = false;
+
+        awaitOwners(
+                "fd-b",
+                record -> record.members().isEmpty()
+                        && record.endpoints().stream()
+                                .allMatch(entry -> entry.mode() == OwnershipMode.FULL
+                                        && entry.previous() == null
+                                        && !entry.owner().equals(owner)));
+    }
+
+    private void awaitPlanned() {
+        for (String domain : List.of("fd-a", "fd-b")) {
+            awaitOwners(
+                    domain,
+                    record -> record.endpoints().size() == 2
+                            && record.endpoints().stream().allMatch(entry -> entry.successor() != null));
+        }
+        for (Host host : hosts.values()) {
+            await(host.id + " is acknowledged", () -> host.entry.lastAcknowledged() > 0);
+        }
+    }
+
+    private void awaitOwners(String domain, Predicate<OwnersRecord> condition) {
+        String name = RecordNames.owners(domain);
+        await(
+                name + " is as expected",
+                () -> platform.read(name, OwnersRecord.class).filter(condition).isPresent());
+    }
+
+    private void await(String what, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > deadline) {
+                String owners = platform.read("owners/fd-a", OwnersRecord.class) + "\n"
+                        + platform.read("owners/fd-b", OwnersRecord.class);
+                assertWithMessage("%s; owners:\n%s", what, owners).fail();
+            }
+            try {
+                TimeUnit.MILLISECONDS.sleep(20);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    private Host host(String id) {
+        return hosts.get(id);
+    }
+
+    private static long failedWrites(Host host) {
+        return host.service.status().read().platformCalls().get("write").failed();
+    }
+
+    private static boolean isReporter(Host host) {
+        return !host.service.status().read().roles().reporterOf().isEmpty();
+    }
+
+    private void startHost(String id, String domain) throws IOException {
+        startHost(id, domain, true);
+    }
+
+    private Host startHost(String id, String domain, boolean platformOpen) throws IOException {
+        Host host = new Host(id, domain, platform.gate(), seeds());
+        host.gate.setOpen(platformOpen);
+        hosts.put(id, host);
+        host.start();
+        return host;
+    }
+
+    private List<String> seeds() {
+        return hosts.values().stream().map(host -> "127.0.0.1:" + host.port).toList();
+    }
+
+    private static EndpointList endpoints(String domain, String... entryHosts) {
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (int i = 1; i <= 2; i++) {
+            endpoints.add(new Endpoint(domain + "-e" + i, "calendar-" + domain, "http://127.0.0.1:1", 4, 100, false));
+        }
+        return new EndpointList(domain, REGION, endpoints, List.of(entryHosts));
+    }
+
+    private static AcceptedTable table(long version) {
+        Table table = Table.builder()
+                .put(new RegionRow(REGION, (int) version, 0))
+                .put(new ServiceRow("calendar", Rank.STANDARD, List.of("GET"), 500))
+                .put(new UpstreamRow("calendar-fd-a", "calendar", REGION, "fd-a", 1, 0, false))
+                .put(new UpstreamRow("calendar-fd-b", "calendar", REGION, "fd-b", 1, 0, false))
+                .build();
+        return new AcceptedTable(version, "change-" + version, "ana", "test", "2026-01-01T00:00:00Z", table);
+    }
+
+    /** A control program with an entry program. */
+    private static final class Host {
+        private final String id;
+        private final String domain;
+        private final MemoryPlatform.Gate gate;
+        private final List<String> seeds;
+        private final int port;
+        private ControlService service;
+        private EntryDouble entry;
+        private volatile boolean alive = true;
+
+        Host(String id, String domain, MemoryPlatform.Gate gate, List<String> seeds) throws IOException {
+            this.id = id;
+            this.domain = domain;
+            this.gate = gate;
+            this.seeds = seeds;
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                this.port = free.getLocalPort();
+            }
+        }
+
+        void start() {
+            String toml = String.join(
+                    "\n",
+                    "[host]",
+                    "id = \"" + id + "\"",
+                    "region = \"" + REGION + "\"",
+                    "failure_domain = \"" + domain + "\"",
+                    "address = \"127.0.0.1\"",
+                    "[platform]",
+                    "url = \"" + gate.url() + "\"",
+                    "[control]",
+                    "port = " + port,
+                    "admin_port = 0",
+                    "seeds = ["
+                            + String.join(
+                                    ", ",
+                                    seeds.stream()
+                                            .map(seed -> "\"" + seed + "\"")
+                                            .toList()) + "]");
+            service = ControlService.builder()
+                    .settings(Settings.parse("test.toml", toml))
+                    .times(TIMES)
+                    .processes(processId -> () -> alive)
+                    .build();
+            service.start();
+            Member member = new Member(
+                    new EntryProcess(id, 1),
+                    REGION,
+                    domain,
+                    domain,
+                    "http://127.0.0.1:1",
+                    "http://127.0.0.1:2",
+                    "127.0.0.1:" + port,
+                    MemberState.ACTIVE);
+            entry = new EntryDouble(member, TIMES.heartbeat() / MILLI);
+        }
+
+        void stop() {
+            entry.close();
+            service.stop();
+        }
+    }
+}
