--- a/control/src/test/java/io/carawaylift/control/ControlClusterTest.java
+++ b/control/src/test/java/io/carawaylift/control/ControlClusterTest.java
@@ -238,7 +238,7 @@
                 .put(new UpstreamRow("calendar-fd-a", "calendar", REGION, "fd-a", 1, 0, false))
                 .put(new UpstreamRow("calendar-fd-b", "calendar", REGION, "fd-b", 1, 0, false))
                 .build();
-        return new AcceptedTable(version, "change-" + version, "ana", "test", "2026-01-01T00:00:00Z", table);
+        return new AcceptedTable(version, "change-" + version, "ana", "test", "2026-01-01T00:00:00Z", List.of(), table);
     }
 
     /** A control program with an entry program. */
@@ -294,6 +294,7 @@
                     domain,
                     "http://127.0.0.1:1",
                     "http://127.0.0.1:2",
+                    "http://127.0.0.1:3",
                     "127.0.0.1:" + port,
                     MemberState.ACTIVE);
             entry = new EntryDouble(member, TIMES.heartbeat() / MILLI);
--- a/entry/src/main/java/io/carawaylift/entry/AdminPages.java
+++ b/entry/src/main/java/io/carawaylift/entry/AdminPages.java
@@ -64,7 +64,8 @@
             return OwnAnswers.json(pages.get().status()).utf8();
         });
         application.get("/explain/{id}", context -> {
-            List<DecisionRecord> records = pages.get().explain(context.path("id").value());
+            List<DecisionRecord> records =
+                    pages.get().explain(context.path("id").value());
             context.setResponseType(MediaType.json);
             context.setResponseCode(records.isEmpty() ? StatusCode.NOT_FOUND : StatusCode.OK);
             return OwnAnswers.json(records).utf8();
--- a/entry/src/test/java/io/carawaylift/entry/EntryServiceTest.java
+++ b/entry/src/test/java/io/carawaylift/entry/EntryServiceTest.java
@@ -52,9 +52,7 @@
 
     /** Answers warm-up requests as usual and all others as {@code script} says. */
     private static ScriptedUpstream.Script afterWarmUp(ScriptedUpstream.Script script) {
-        return (run, out) -> isWarmUp(run)
-                ? ScriptedUpstream.ok("warm").answer(run, out)
-                : script.answer(run, out);
+        return (run, out) -> isWarmUp(run) ? ScriptedUpstream.ok("warm").answer(run, out) : script.answer(run, out);
     }
 
     @Test
@@ -138,8 +136,10 @@
             return false;
         })) {
             cluster.endpoint("e1", upstream, 1, first).publish();
-            Call call = cluster.client.newCall(cluster.request(first, "/s/rooms").build());
-            CompletableFuture<Void> left = CompletableFuture.runAsync(() -> assertThrows(IOException.class, call::execute));
+            Call call =
+                    cluster.client.newCall(cluster.request(first, "/s/rooms").build());
+            CompletableFuture<Void> left =
+                    CompletableFuture.runAsync(() -> assertThrows(IOException.class, call::execute));
             assertThat(started.await(20, TimeUnit.SECONDS)).isTrue();
             call.cancel();
             left.join();
@@ -233,8 +233,7 @@
     void aRefusalByTheUpstreamIsRetriedElsewhereAndOtherwiseReportedAsNotRun() throws IOException {
         EntryProcess second = cluster.start("h2");
         ScriptedUpstream.Script refuse = afterWarmUp((run, out) -> {
-            ScriptedUpstream.write(
-                    out, "HTTP/1.1 503 No\r\nCarawaylift-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
+            ScriptedUpstream.write(out, "HTTP/1.1 503 No\r\nCarawaylift-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
             return true;
         });
         try (ScriptedUpstream one = new ScriptedUpstream(refuse);
@@ -261,7 +260,8 @@
             assertThat(rank.code()).isEqualTo(number(ResultCode.BAD_REQUEST));
             assertThat(rank.headers().get(Headers.DETAIL)).contains("top");
             RequestBody large = RequestBody.create(new byte[ServerState.MAX_BODY_BYTES + 1]);
-            Result body = cluster.call(cluster.request(first, "/s/x").post(large).build());
+            Result body =
+                    cluster.call(cluster.request(first, "/s/x").post(large).build());
             assertThat(body.code()).isEqualTo(number(ResultCode.BODY_TOO_LARGE));
             assertThat(upstream.runs()).isEmpty();
         }
@@ -281,8 +281,7 @@
             cluster.endpoint("e1", upstream, 2, first).publish();
             CompletableFuture<Result> slow = CompletableFuture.supplyAsync(() -> unchecked("/s/slow"));
             assertThat(started.await(20, TimeUnit.SECONDS)).isTrue();
-            CompletableFuture<Void> stopped =
-                    CompletableFuture.runAsync(cluster.service(first)::stop);
+            CompletableFuture<Void> stopped = CompletableFuture.runAsync(cluster.service(first)::stop);
             while (!cluster.service(first).pages().status().state().equals("LEAVING")) {
                 TimeUnit.MILLISECONDS.sleep(5);
             }
--- a/entry/src/test/java/io/carawaylift/entry/OnceRequestsTest.java
+++ b/entry/src/test/java/io/carawaylift/entry/OnceRequestsTest.java
@@ -129,8 +129,7 @@
             if (run.number() > 1) {
                 return ScriptedUpstream.ok("booked").answer(run, out);
             }
-            ScriptedUpstream.write(
-                    out, "HTTP/1.1 503 No\r\nCarawaylift-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
+            ScriptedUpstream.write(out, "HTTP/1.1 503 No\r\nCarawaylift-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
             return true;
         };
         try (ScriptedUpstream upstream = new ScriptedUpstream(script)) {
