Prove ownership and replica spread by seeds and focused tests; measure cost

Ruled out: a coincidence of seeds. Seeds 5, 6 and 42 hold with all rules and fail without the wait after takeover, without the owners read and without epochs in releases. Before: hosts that learned a record from a peer never read it from the platform and so never acknowledged; TakeoverPolicy.isReadNeeded tells the control program now. An acknowledgement also covered records which the successor had never read; isCoveredBy now requires each of them.

--- a/decisions/src/main/java/io/carawaylift/decisions/ownership/Acknowledgement.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/Acknowledgement.java
@@ -18,9 +18,12 @@
         ownersVersions = Map.copyOf(ownersVersions);
     }
 
-    /** Returns whether a process with these record versions may count the acknowledgement. */
+    /**
+     * Returns whether a process with these record versions may count the acknowledgement. A record that the process knows and
+     * the successor has not read may name another successor by now, so it prevents that too.
+     */
     public boolean isCoveredBy(Map<String, Long> knownVersions) {
-        return ownersVersions.entrySet().stream()
-                .allMatch(entry -> knownVersions.getOrDefault(entry.getKey(), 0L) >= entry.getValue());
+        return knownVersions.entrySet().stream()
+                .allMatch(known -> ownersVersions.getOrDefault(known.getKey(), Long.MAX_VALUE) <= known.getValue());
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/ownership/TakeoverPolicy.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/ownership/TakeoverPolicy.java
@@ -126,6 +126,15 @@
         ownersRead(write.name(), newVersion, write.record(), true, nowNanos);
     }
 
+    /**
+     * Returns whether the control program must read this record from the platform: this run has not read it yet, or an
+     * update of it is unresolved. Without that read for every record of the region nothing useful is acknowledged.
+     */
+    public boolean isReadNeeded(String name) {
+        KnownOwners known = records.get(name);
+        return known == null || !known.isSettled();
+    }
+
     /** Returns whether an update of this record is unresolved. */
     public boolean isUnresolved(String name) {
         KnownOwners known = records.get(name);
--- /dev/null
+++ b/decisions/src/test/java/io/carawaylift/decisions/replica/ReplicaStoreTest.java
@@ -0,0 +1,70 @@
+package io.carawaylift.decisions.replica;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.RecordBytes;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class ReplicaStoreTest {
+    private static final RecordBytes A = RecordBytes.of("a");
+    private static final RecordBytes B = RecordBytes.of("b");
+
+    /** Guards against a late message that brings an old version back. */
+    @Test
+    void olderVersionIsIgnored() {
+        ReplicaStore store = new ReplicaStore();
+        assertThat(store.offer("x", 2, B)).isTrue();
+        assertThat(store.offer("x", 1, A)).isFalse();
+        assertThat(store.read("x").orElseThrow().version()).isEqualTo(2);
+    }
+
+    /** Guards against digests that depend on the path by which a store reached its content. */
+    @Test
+    void equalContentHasEqualDigests() {
+        ReplicaStore one = new ReplicaStore();
+        one.offer("x", 1, A);
+        one.offer("y", 7, A);
+        one.offer("x", 2, B);
+        ReplicaStore other = new ReplicaStore();
+        other.offer("x", 2, B);
+        assertThat(other.digest()).isNotEqualTo(one.digest());
+        other.offer("y", 7, A);
+        assertThat(other.digest()).isEqualTo(one.digest());
+    }
+
+    /** Guards against two histories of the same record, for example after the platform lost a write. */
+    @Test
+    void twoValuesOfOneVersionAreReported() {
+        ReplicaStore store = new ReplicaStore();
+        store.offer("x", 1, A);
+        assertThrows(CarawayliftException.class, () -> store.offer("x", 1, B));
+    }
+
+    /** Guards against pulling what the peer does not have newer, and against missing what it lacks. */
+    @Test
+    void selectsWhatEachSideLacks() {
+        ReplicaStore store = new ReplicaStore();
+        store.offer("mine", 1, A);
+        store.offer("newer", 5, A);
+        store.offer("older", 5, A);
+        Map<String, Long> peer = Map.of("newer", 4L, "older", 6L, "theirs", 1L);
+        assertThat(store.lackingAt(peer).keySet()).containsExactly("mine", "newer");
+        assertThat(store.newerAt(peer)).containsExactly("older", "theirs");
+    }
+
+    /** Guards against keeping a record whose delta did not apply. */
+    @Test
+    void deltaOfAnotherVersionAsksForTheWholeRecord() {
+        ReplicaStore store = new ReplicaStore();
+        RecordDelta delta = RecordDelta.between(new ReplicaStore.Entry(2, A), new ReplicaStore.Entry(3, B));
+        assertThat(store.offer("x", delta)).isFalse();
+        store.offer("x", 1, A);
+        assertThat(store.offer("x", delta)).isFalse();
+        store.offer("x", 2, A);
+        assertThat(store.offer("x", delta)).isTrue();
+        assertThat(store.read("x").orElseThrow().value()).isEqualTo(B);
+    }
+}
--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/measure/DomainCost.java
@@ -0,0 +1,100 @@
+package io.carawaylift.testing.measure;
+
+import io.carawaylift.decisions.membership.DomainMembers;
+import io.carawaylift.decisions.ownership.Acknowledgement;
+import io.carawaylift.decisions.ownership.LeaseTimes;
+import io.carawaylift.decisions.ownership.OwnershipPlanner;
+import io.carawaylift.model.DomainRecord;
+import io.carawaylift.model.EndpointList;
+import io.carawaylift.model.MemberReport;
+import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.model.RecordCodec;
+import io.carawaylift.model.Table;
+import java.util.List;
+import java.util.Map;
+
+/** Cost of the duties whose size is the number of members of a failure domain; each is done once a second. */
+final class DomainCost {
+    private static final String DOMAIN = "domain-01";
+    private static final String REPORTER = "domain-01-host-000";
+    private static final long SECOND = 1_000_000_000L;
+    /** Two agents and up to two successors. */
+    private static final int RECEIVERS = 4;
+
+    private final int members;
+    private final OwnersRecord owners;
+    private final EndpointList list;
+    private final Table table = FleetData.table(1, 0).table();
+
+    DomainCost(int members) {
+        this.members = members;
+        this.owners = FleetData.owners(DOMAIN, members);
+        this.list = FleetData.endpoints(DOMAIN, members);
+    }
+
+    List<ControlCostMeasure.Sample> samples() {
+        return List.of(member(), agent(), reporter(), planner());
+    }
+
+    private ControlCostMeasure.Sample member() {
+        byte[] heartbeat = Encodings.messagePack(FleetData.report(DOMAIN, 1, 1));
+        Acknowledgement ack =
+                new Acknowledgement(REPORTER, FleetData.member(DOMAIN, 1).process(), 1, Map.of("owners/domain-01", 1L));
+        double cpu = CpuTimer.micros(number -> Encodings.messagePack(FleetData.report(DOMAIN, 1, number)));
+        int bytes = RECEIVERS * (heartbeat.length + Encodings.messagePack(ack).length);
+        return sample("member: heartbeat", cpu, bytes, 0);
+    }
+
+    private ControlCostMeasure.Sample agent() {
+        DomainMembers view = view();
+        byte[] heartbeat = Encodings.messagePack(FleetData.report(DOMAIN, 1, 1));
+        double cpu = CpuTimer.micros(number -> {
+            for (int i = 0; i < members; i++) {
+                MemberReport report = Encodings.decode(heartbeat, MemberReport.class);
+                view.heartbeatReceived(
+                        new MemberReport(FleetData.member(DOMAIN, i), number + 1L, 1, List.of(), report.measures()),
+                        number * SECOND);
+            }
+        });
+        return sample("agent: heartbeats", cpu, members * heartbeat.length, CpuTimer.heapKib(this::view));
+    }
+
+    private ControlCostMeasure.Sample reporter() {
+        DomainMembers view = view();
+        RecordBytes written = RecordCodec.encode(view.toWrite(DOMAIN, REPORTER, 0));
+        double cpu = CpuTimer.micros(number -> {
+            view.domainRead(RecordCodec.decode(written, DomainRecord.class), 0);
+            RecordCodec.encode(view.toWrite(DOMAIN, REPORTER, 0));
+        });
+        return sample("reporter: member report", cpu, 2 * written.length(), 0);
+    }
+
+    private ControlCostMeasure.Sample planner() {
+        DomainMembers view = view();
+        OwnershipPlanner planner = new OwnershipPlanner(DOMAIN, FleetData.REGION, LeaseTimes.DEFAULT);
+        RecordBytes ownersJson = RecordCodec.encode(owners);
+        RecordBytes listJson = RecordCodec.encode(list);
+        double cpu = CpuTimer.micros(number -> planner.plan(
+                1,
+                RecordCodec.decode(ownersJson, OwnersRecord.class),
+                List.of(RecordCodec.decode(listJson, EndpointList.class)),
+                view,
+                table,
+                0));
+        return sample("reporter: plan", cpu, ownersJson.length() + listJson.length(), 0);
+    }
+
+    private DomainMembers view() {
+        DomainMembers view = new DomainMembers(DOMAIN, FleetData.REGION, LeaseTimes.DEFAULT);
+        view.ownersRead(owners, 0);
+        for (int i = 0; i < members; i++) {
+            view.heartbeatReceived(FleetData.report(DOMAIN, i, 1), 0);
+        }
+        return view;
+    }
+
+    private ControlCostMeasure.Sample sample(String duty, double cpu, double bytes, double memoryKib) {
+        return new ControlCostMeasure.Sample(duty, "members", members, cpu, bytes, memoryKib);
+    }
+}
--- a/testing/src/main/java/io/carawaylift/testing/measure/SimulatedControl.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/SimulatedControl.java
@@ -172,12 +172,9 @@
             long started = clock();
             world.read(this, host, RecordNames.domain(each), found -> domainRead(each, found, started));
         }
-        boolean fence = OwnershipWorld.DOMAINS.stream()
-                .map(RecordNames::owners)
-                .anyMatch(name -> takeover.isUnresolved(name) || !known.containsKey(name));
-        if (fence) {
-            OwnershipWorld.DOMAINS.forEach(this::readOwners);
-        }
+        OwnershipWorld.DOMAINS.stream()
+                .filter(each -> takeover.isReadNeeded(RecordNames.owners(each)))
+                .forEach(this::readOwners);
         List<OwnersWrite> writes = takeover.writesDue(
                 own == null ? null : own.member(),
                 members.live(clock()),
--- /dev/null
+++ b/testing/src/test/java/io/carawaylift/testing/measure/OwnershipRunTest.java
@@ -0,0 +1,33 @@
+package io.carawaylift.testing.measure;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.carawaylift.model.CarawayliftException;
+import io.carawaylift.model.ResultCode;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class OwnershipRunTest {
+    /**
+     * Guards against endpoints above their slots and endpoints that stay without a full owner; 10752 and 20046 failed while
+     * the hold had no margin.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 42, 10752, 20046})
+    void noEndpointIsOverloadedAndAllRecover(long seed) {
+        OwnershipRun.runSeed(seed, Set.of());
+    }
+
+    /** Guards against a run that could not find the fault which a rule prevents; the same seeds hold with all rules. */
+    @ParameterizedTest
+    @CsvSource({"5, WAIT_AFTER_TAKEOVER", "6, OWNERS_READ_AFTER_WRITE", "42, EPOCH_OF_RELEASE"})
+    void runFindsTheFaultWhenARuleIsOff(long seed, SimulatedRule rule) {
+        CarawayliftException failure =
+                assertThrows(CarawayliftException.class, () -> OwnershipRun.runSeed(seed, Set.of(rule)));
+        assertThat(failure.code()).isEqualTo(ResultCode.INVARIANT_VIOLATED);
+        assertThat(failure).hasMessageThat().contains("in flight");
+    }
+}
