Wait for the present successors in the cluster tests

Cause: a control program acknowledges nothing for a record before it has rewritten it once, because an update of its earlier run may be on its way. The outage test closed the platform before successor b1 had done so; its earlier condition accepted an acknowledgement by a previous successor.

Ruled out: a fault in the relay; b1's write was the settling rewrite. After: the tests wait until the successor named in each record acknowledges; the assertion during the outage is stricter than before, as it names the successor.

--- a/control/src/test/java/io/carawaylift/control/ControlClusterTest.java
+++ b/control/src/test/java/io/carawaylift/control/ControlClusterTest.java
@@ -11,6 +11,7 @@
 import io.carawaylift.model.Member;
 import io.carawaylift.model.MemberState;
 import io.carawaylift.model.OwnersRecord;
+import io.carawaylift.model.Ownership;
 import io.carawaylift.model.OwnershipMode;
 import io.carawaylift.model.Rank;
 import io.carawaylift.model.RecordNames;
@@ -75,8 +76,8 @@
             await(host.id + " is synchronized", host.entry::isSynchronized);
             long sent = host.entry.lastHeartbeat();
             await(host.id + " is confirmed", () -> host.entry.lastConfirmed() > sent);
-            await(host.id + " is acknowledged", () -> host.entry.lastAcknowledged() > sent);
         }
+        awaitAcknowledged();
         assertThat(host("a1").service.status().read().roles().reporterOf()).containsExactly("fd-a");
         assertThat(host("a2").service.status().read().roles().agent()).isTrue();
     }
@@ -100,9 +101,8 @@
         hosts.values().forEach(host -> host.gate.setOpen(false));
         for (Host host : hosts.values()) {
             await(host.id + " lost the platform", () -> failedWrites(host) > 0 || !isReporter(host));
-            long sent = host.entry.lastHeartbeat();
-            await(host.id + " is acknowledged", () -> host.entry.lastAcknowledged() > sent);
         }
+        awaitAcknowledged();
 
         Host joined = startHost("b2", "fd-b", false);
         await("b2 is synchronized", joined.entry::isSynchronized);
@@ -167,11 +167,26 @@
                     record -> record.endpoints().size() == 2
                             && record.endpoints().stream().allMatch(entry -> entry.successor() != null));
         }
-        for (Host host : hosts.values()) {
-            await(host.id + " is acknowledged", () -> host.entry.lastAcknowledged() > 0);
+        awaitAcknowledged();
+    }
+
+    /** Waits until the present successor of every endpoint acknowledges a heartbeat that is sent from now on. */
+    private void awaitAcknowledged() {
+        Map<String, Long> sent = new TreeMap<>();
+        hosts.forEach((id, host) -> sent.put(id, host.entry.lastHeartbeat()));
+        for (String name : List.of(RecordNames.owners("fd-a"), RecordNames.owners("fd-b"))) {
+            await(
+                    name + " is acknowledged",
+                    () -> platform.read(name, OwnersRecord.class).orElseThrow().endpoints().stream()
+                            .allMatch(entry -> isAcknowledged(entry, sent)));
         }
     }
 
+    private boolean isAcknowledged(Ownership entry, Map<String, Long> sent) {
+        String owner = entry.owner().host();
+        return entry.successor() != null && host(owner).entry.lastAcknowledged(entry.successor()) > sent.get(owner);
+    }
+
     private void awaitOwners(String domain, Predicate<OwnersRecord> condition) {
         String name = RecordNames.owners(domain);
         await(
--- a/control/src/test/java/io/carawaylift/control/EntryDouble.java
+++ b/control/src/test/java/io/carawaylift/control/EntryDouble.java
@@ -26,7 +26,7 @@
     private final ControlLink link;
     private final AtomicLong heartbeat = new AtomicLong();
     private final AtomicLong confirmed = new AtomicLong();
-    private final AtomicLong acknowledged = new AtomicLong();
+    private final Map<String, Long> acknowledged = new ConcurrentHashMap<>();
     private final Map<String, Long> versions = new ConcurrentHashMap<>();
     private final Map<String, OwnersRecord> owners = new ConcurrentHashMap<>();
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -62,8 +62,9 @@
         return confirmed.get();
     }
 
-    long lastAcknowledged() {
-        return acknowledged.get();
+    /** Returns the newest heartbeat that the successor acknowledged. */
+    long lastAcknowledged(String successor) {
+        return acknowledged.getOrDefault(successor, 0L);
     }
 
     private void send() {
@@ -92,7 +93,7 @@
 
     @Override
     public void successorAcknowledged(String successorHost, long number) {
-        acknowledged.accumulateAndGet(number, Math::max);
+        acknowledged.merge(successorHost, number, Math::max);
     }
 
     @Override
