--- /dev/null
+++ b/testing/src/main/java/io/carawaylift/testing/measure/OwnerQueues.java
@@ -0,0 +1,154 @@
+package io.carawaylift.testing.measure;
+
+import io.carawaylift.decisions.admission.AdmissionQueue;
+import io.carawaylift.decisions.admission.Offer;
+import io.carawaylift.decisions.admission.Work;
+import io.carawaylift.decisions.steering.OwnerSelector;
+import io.carawaylift.decisions.steering.OwnerSelector.Candidate;
+import io.carawaylift.model.EntryProcess;
+import io.carawaylift.model.Rank;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The policy of carawaylift: each endpoint has one owner, which queues by rank and customer. The window of the entry
+ * process in front of the owners is left out.
+ */
+final class OwnerQueues implements Policy {
+    private static final int CAPACITY = 512;
+    /**
+     * How long a refused request counts as outstanding at the owner that refused it. Without this an owner that refuses looks
+     * least loaded and draws the requests of all customers.
+     */
+    private static final long REFUSAL_COUNTS_NANOS = Traffic.SECOND;
+
+    private static final List<Rank> RANKS = List.of(Rank.values());
+
+    private final OwnerSelector selector = new OwnerSelector();
+    private final List<AdmissionQueue<Sent>> queues = new ArrayList<>();
+    private final List<List<Integer>> endpoints = new ArrayList<>();
+    private final Map<Long, Work<Sent>> running = new HashMap<>();
+    private final List<EntryProcess> owners = new ArrayList<>();
+    /** Unfinished requests by entry process, owner and rank. */
+    private final int[][][] outstanding;
+
+    private final Deque<Refused> refused = new ArrayDeque<>();
+    private final Size size;
+
+    OwnerQueues(Size size) {
+        this.size = size;
+        outstanding = new int[size.hosts()][size.hosts()][RANKS.size()];
+        for (int host = 0; host < Math.min(size.hosts(), size.endpoints()); host++) {
+            List<Integer> owned = new ArrayList<>();
+            for (int endpoint = host; endpoint < size.endpoints(); endpoint += size.hosts()) {
+                owned.add(endpoint);
+            }
+            endpoints.add(owned);
+            owners.add(new EntryProcess("host-" + host, 1));
+            queues.add(AdmissionQueue.<Sent>builder()
+                    .capacity(CAPACITY)
+                    .limit(owned.size() * size.slotsPerEndpoint())
+                    .floors(size.floors())
+                    .build());
+        }
+    }
+
+    @Override
+    public String name() {
+        return "owner queues";
+    }
+
+    @Override
+    public void arrived(Request request, Simulation simulation) {
+        int entry = (int) Math.floorMod((request.id() * 0x9E3779B97F4A7C15L) >>> 32, (long) size.hosts());
+        while (!refused.isEmpty() && refused.peek().untilNanos() <= simulation.nowNanos()) {
+            leave(refused.remove().sent());
+        }
+        int owner = owner(entry, request.rank(), request.id());
+        Sent sent = new Sent(request, entry, owner);
+        Work<Sent> work = new Work<>(request.id(), request.rank(), request.customer(), request.deadlineNanos(), sent);
+        Offer<Sent> offer = queues.get(owner).offer(work, simulation.nowNanos());
+        outstanding[entry][owner][RANKS.indexOf(request.rank())]++;
+        if (offer.refusal().isPresent()) {
+            refused.add(new Refused(sent, simulation.nowNanos() + REFUSAL_COUNTS_NANOS));
+        } else {
+            offer.displaced().ifPresent(displaced -> leave(displaced.payload()));
+            start(owner, simulation);
+        }
+    }
+
+    @Override
+    public void finished(Request request, int endpoint, Simulation simulation) {
+        Work<Sent> work = running.remove(request.id());
+        int owner = work.payload().owner();
+        queues.get(owner).finished(work, simulation.nowNanos());
+        leave(work.payload());
+        start(owner, simulation);
+    }
+
+    @Override
+    public int waiting() {
+        int sum = 0;
+        for (AdmissionQueue<Sent> queue : queues) {
+            for (Rank rank : Rank.values()) {
+                sum += queue.waiting(rank);
+            }
+        }
+        return sum;
+    }
+
+    private void start(int owner, Simulation simulation) {
+        AdmissionQueue<Sent> queue = queues.get(owner);
+        Optional<Work<Sent>> next = queue.next(simulation.nowNanos());
+        while (next.isPresent()) {
+            int endpoint = leastBusy(owner, simulation);
+            running.put(next.get().id(), next.get());
+            simulation.send(endpoint);
+            simulation.execute(next.get().payload().request(), endpoint);
+            next = queue.next(simulation.nowNanos());
+        }
+        queue.expired(simulation.nowNanos()).forEach(work -> leave(work.payload()));
+    }
+
+    /** Chooses by what one entry process knows: its own outstanding work of the request's rank and higher ranks. */
+    private int owner(int entry, Rank rank, long seed) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (int owner = 0; owner < queues.size(); owner++) {
+            int[] sent = outstanding[entry][owner];
+            int atLeast = 0;
+            for (int other = 0; other <= RANKS.indexOf(rank); other++) {
+                atLeast += sent[other];
+            }
+            candidates.add(new Candidate(owners.get(owner), slots(owner), atLeast));
+        }
+        return owners.indexOf(selector.choose(candidates, seed).orElseThrow());
+    }
+
+    private int slots(int owner) {
+        return endpoints.get(owner).size() * size.slotsPerEndpoint();
+    }
+
+    private void leave(Sent sent) {
+        outstanding[sent.entry()][sent.owner()][RANKS.indexOf(sent.request().rank())]--;
+    }
+
+    private int leastBusy(int owner, Simulation simulation) {
+        int best = endpoints.get(owner).get(0);
+        for (int endpoint : endpoints.get(owner)) {
+            if (simulation.inFlight(endpoint) < simulation.inFlight(best)) {
+                best = endpoint;
+            }
+        }
+        return best;
+    }
+
+    /** A request with the entry process that took it and the owner that got it. */
+    private record Sent(Request request, int entry, int owner) {}
+
+    private record Refused(Sent sent, long untilNanos) {}
+}
