Keep time for the service itself when admitting and starting work

Cause: work was admitted up to a wait that left the mean service time, and started until its deadline; with service times that differ by a factor of 100 a quarter of the slot time in an urgent flood went to work that finished too late. Ruled out: a shorter queue by capacity (it is right for one service time only) and averaging slot use over 2 s, which made estimates swing by a factor of three within a second; the average is now over 10 s.

--- a/decisions/src/main/java/io/carawaylift/decisions/admission/AdmissionQueue.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/AdmissionQueue.java
@@ -107,7 +107,7 @@
             }
             leave(victim);
         }
-        enter(work);
+        enter(work, now);
         return new Offer<>(Optional.empty(), Optional.ofNullable(victim).map(Waiting::work));
     }
 
@@ -119,14 +119,34 @@
             return Optional.empty();
         }
         Rank first = highestWaiting();
-        if (first == null) {
-            return Optional.empty();
+        while (first != null) {
+            Rank rank = furthestBehindFloor(first);
+            Waiting<T> entry = ranks.get(rank).lines.first();
+            if (!isTooShort(entry, now)) {
+                return Optional.of(start(entry, rank != first, now));
+            }
+            leave(entry);
+            expired.add(entry.work());
+            first = highestWaiting();
         }
-        Rank rank = furthestBehindFloor(first);
-        return Optional.of(start(rank, rank != first, now));
+        return Optional.empty();
+    }
+
+    /**
+     * Returns whether work would probably finish after its deadline although other work of its rank waits that may not. The
+     * wait must have used up half of the allowed time, so that deadlines shorter than the usual service time still get a try.
+     */
+    private boolean isTooShort(Waiting<T> entry, long now) {
+        RankLines<T> lines = ranks.get(entry.work().rank()).lines;
+        double left = (double) (entry.work().deadlineNanos() - now);
+        double waited = (double) (now - entry.arrivalNanos());
+        return lines.waiting() > 1 && waited > left && left < lines.serviceTime.likelyMost();
     }
 
-    /** Removes and returns waiting work whose deadline has passed; the caller refuses it as not run. */
+    /**
+     * Removes and returns waiting work whose deadline has passed, and work that {@link #next} passed over because too little
+     * time was left; the caller refuses it as not run. Call it after {@link #next}.
+     */
     public List<Work<T>> expired(long nowNanos) {
         collectExpired(advance(nowNanos));
         List<Work<T>> result = List.copyOf(expired);
@@ -206,8 +226,8 @@
         if (left <= 0) {
             return true;
         }
-        double service = WaitEstimate.serviceNanos(ranks, work.rank());
-        return ranks.get(work.rank()).waiting() > 0 && wait + service > (double) left;
+        RankLines<T> lines = ranks.get(work.rank()).lines;
+        return lines.waiting() > 0 && wait + lines.serviceTime.likelyMost() > (double) left;
     }
 
     private Offer<T> refusal(ResultCode code, double waitNanos) {
@@ -238,8 +258,8 @@
         return (int) (state.floor * capacity);
     }
 
-    private void enter(Work<T> work) {
-        Waiting<T> entry = ranks.get(work.rank()).lines.add(arrivals++, work);
+    private void enter(Work<T> work, long now) {
+        Waiting<T> entry = ranks.get(work.rank()).lines.add(arrivals++, work, now);
         waiting.put(work.id(), entry);
         byDeadline.add(entry);
         Invariant.check(waiting.size() <= capacity, "waiting work must fit the capacity", waiting.size());
@@ -283,9 +303,8 @@
         return chosen;
     }
 
-    private Work<T> start(Rank rank, boolean byFloor, long now) {
-        RankState<T> state = ranks.get(rank);
-        Waiting<T> entry = state.lines.first();
+    private Work<T> start(Waiting<T> entry, boolean byFloor, long now) {
+        RankState<T> state = ranks.get(entry.work().rank());
         double charged = state.lines.start(entry);
         unlist(entry);
         running.put(entry.work().id(), new Running<>(entry.work(), entry.line(), now, charged, byFloor));
--- a/decisions/src/main/java/io/carawaylift/decisions/admission/RankLines.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/RankLines.java
@@ -50,14 +50,14 @@
         return byBacklog.isEmpty() ? 0 : byBacklog.first().waiting.size();
     }
 
-    Waiting<T> add(long number, Work<T> work) {
+    Waiting<T> add(long number, Work<T> work, long nowNanos) {
         CustomerLine<T> line = lines.computeIfAbsent(work.customer(), CustomerLine::new);
         idle.remove(line);
         detach(line);
         if (line.idle()) {
             line.usedNanos = Math.max(line.usedNanos, servedUpTo);
         }
-        Waiting<T> entry = new Waiting<>(number, work, line);
+        Waiting<T> entry = new Waiting<>(number, work, line, nowNanos);
         line.waiting.put(number, entry);
         waiting++;
         attach(line);
--- a/decisions/src/main/java/io/carawaylift/decisions/admission/RankState.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/RankState.java
@@ -2,8 +2,8 @@
 
 /** Everything the queue knows of one rank. */
 final class RankState<T> {
-    /** Time over which the use of slots by a rank is averaged for estimates; 2 s follows the onset of a flood. */
-    private static final double USE_NANOS = 2e9;
+    /** Time over which the use of slots by a rank is averaged for estimates, as for floors. */
+    private static final double USE_NANOS = 10e9;
 
     final RankLines<T> lines = new RankLines<>();
     final FloorCredit credit = new FloorCredit();
--- a/decisions/src/main/java/io/carawaylift/decisions/admission/ServiceTime.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/ServiceTime.java
@@ -1,17 +1,25 @@
 package io.carawaylift.decisions.admission;
 
-/** Moving mean of observed service times in nanoseconds. */
+/** Moving mean and spread of observed service times in nanoseconds. */
 final class ServiceTime {
     /** Service times differ by a factor of 100, so a mean over fewer samples follows single long requests. */
     private static final double NEWEST_WEIGHT = 0.02;
 
     private long samples;
     private double mean;
+    private double variance;
 
     void add(double nanos) {
         samples++;
         double weight = Math.max(NEWEST_WEIGHT, 1.0 / samples);
-        mean += weight * (nanos - mean);
+        double gap = nanos - mean;
+        mean += weight * gap;
+        variance = (1 - weight) * (variance + weight * gap * gap);
+    }
+
+    /** Returns a time that most requests do not exceed: the mean plus two standard deviations, 0 before the first sample. */
+    double likelyMost() {
+        return mean + 2 * Math.sqrt(variance);
     }
 
     boolean known() {
