--- a/decisions/src/main/java/io/carawaylift/decisions/admission/AdmissionQueue.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/AdmissionQueue.java
@@ -24,7 +24,11 @@
  * from {@link #next}, from {@link #expired} or by {@link #cancel}.
  */
 public final class AdmissionQueue<T> {
-    private static final long NANOS_PER_MS = 1_000_000;
+    private static final double NANOS_PER_MS = 1e6;
+
+    /** Bounds the estimate for a rank to which higher ranks leave nothing; load changes within a minute. */
+    private static final double LONGEST_RETRY_AFTER_MS = 60_000;
+
     private static final List<Rank> LOWEST_FIRST =
             Stream.of(Rank.values()).sorted(Comparator.reverseOrder()).toList();
 
@@ -97,13 +101,13 @@
         collectExpired(now);
         double wait = WaitEstimate.of(ranks, work.rank(), work.customer(), limit, running.size());
         if (isTooLate(work, wait, now)) {
-            return refusal(ResultCode.DEADLINE_TOO_SHORT, wait);
+            return refusal(ResultCode.DEADLINE_TOO_SHORT, wait - (double) (work.deadlineNanos() - now));
         }
         Waiting<T> victim = null;
         if (waiting.size() >= capacity) {
             victim = victimFor(work);
             if (victim == null) {
-                return refusal(ResultCode.QUEUE_FULL, wait);
+                return refusal(ResultCode.QUEUE_FULL, wait / Math.max(1, waiting(work.rank())));
             }
             leave(victim);
         }
@@ -230,8 +234,9 @@
         return lines.waiting() > 0 && wait + lines.serviceTime.likelyMost() > (double) left;
     }
 
-    private Offer<T> refusal(ResultCode code, double waitNanos) {
-        long retryAfterMs = Math.max(1, (long) (waitNanos / (double) NANOS_PER_MS));
+    private Offer<T> refusal(ResultCode code, double untilAdmittedNanos) {
+        double millis = untilAdmittedNanos / NANOS_PER_MS;
+        long retryAfterMs = (long) Math.max(1, Math.min(LONGEST_RETRY_AFTER_MS, millis));
         return new Offer<>(Optional.of(new Refusal(code, retryAfterMs)), Optional.empty());
     }
 
--- a/decisions/src/main/java/io/carawaylift/decisions/links/LinkBucket.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/links/LinkBucket.java
@@ -9,6 +9,7 @@
 final class LinkBucket {
     private static final double DEPTH_SECONDS = 0.05;
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double ROUNDING_BYTES = 1e-3;
 
     private double bytesPerNano;
     private double depth;
@@ -43,7 +44,8 @@
         // second.
         tokens = Math.min(tokens, Math.max(depth, bytes)) - bytes;
         tokens -= Math.max(0, bytes - depth);
-        Invariant.check(tokens >= -bytes, "tokens must not be negative by more than one reservation", tokens);
+        Invariant.check(
+                tokens >= -bytes - ROUNDING_BYTES, "tokens must not be negative by more than one reservation", tokens);
         return wait;
     }
 
--- a/decisions/src/main/java/io/carawaylift/decisions/steering/ServiceShares.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/steering/ServiceShares.java
@@ -40,7 +40,8 @@
             sum += share;
         }
         current.clear();
-        if (sum <= ROUNDING) {
+        boolean noneWanted = shares.values().stream().allMatch(share -> share == 0);
+        if (noneWanted || sum <= ROUNDING) {
             current.putAll(shares);
         } else {
             double scale = 1 / sum;
--- /dev/null
+++ b/decisions/src/test/java/io/carawaylift/decisions/admission/FloodRun.java
@@ -0,0 +1,110 @@
+package io.carawaylift.decisions.admission;
+
+import io.carawaylift.model.Rank;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/** Runs a queue in virtual time under Poisson load with service times that differ by a factor of 100. */
+final class FloodRun {
+    static final long SECOND = 1_000_000_000L;
+    private static final double SHORTEST_NANOS = 10e6;
+    private static final double MEAN_NANOS = SHORTEST_NANOS * 99 / Math.log(100);
+    private static final Map<Rank, Long> DEADLINE =
+            Map.of(Rank.URGENT, 5 * SECOND, Rank.STANDARD, 10 * SECOND, Rank.DEFERRABLE, 30 * SECOND);
+
+    private final Map<Rank, Double> usedNanos = new EnumMap<>(Rank.class);
+    private final Map<Rank, Integer> offered = new EnumMap<>(Rank.class);
+    private final Map<Rank, Integer> inTime = new EnumMap<>(Rank.class);
+    private final Map<String, Double> usedByCustomer = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atNanos)
+            .thenComparingLong(e -> e.work().id()));
+    private final QueueUnderTest queue;
+    private final Random random;
+    private final int slots;
+    private final long endNanos;
+    private double usefulNanos;
+    private long ids;
+
+    FloodRun(QueueUnderTest queue, int slots, long seconds, long seed) {
+        this.queue = queue;
+        this.slots = slots;
+        this.endNanos = seconds * SECOND;
+        this.random = new Random(seed);
+    }
+
+    /** Adds load as a fraction of the capacity, all from one customer. */
+    FloodRun load(Rank rank, String customer, double load) {
+        double perNano = load * slots / MEAN_NANOS;
+        double at = 0;
+        while (true) {
+            at += -Math.log1p(-random.nextDouble()) / perNano;
+            if (at >= endNanos) {
+                return this;
+            }
+            long service = (long) (SHORTEST_NANOS * Math.pow(100, random.nextDouble()));
+            long arrival = (long) at;
+            events.add(new Event(
+                    arrival, false, new Work<>(ids++, rank, customer, arrival + DEADLINE.get(rank), service)));
+        }
+    }
+
+    FloodRun run() {
+        while (!events.isEmpty()) {
+            Event event = events.remove();
+            long now = event.atNanos();
+            Work<Long> work = event.work();
+            if (event.finish()) {
+                queue.finished(work, now);
+                count(work, now);
+            } else {
+                offered.merge(work.rank(), 1, Integer::sum);
+                queue.offer(work, now);
+            }
+            for (Optional<Work<Long>> next = queue.next(now); next.isPresent(); next = queue.next(now)) {
+                events.add(new Event(now + next.get().payload(), true, next.get()));
+            }
+        }
+        return this;
+    }
+
+    /** Returns the share of slot time that a rank used. */
+    double share(Rank rank) {
+        return usedNanos.getOrDefault(rank, 0.0) / capacity();
+    }
+
+    /** Returns the slot time of a customer relative to capacity. */
+    double share(String customer) {
+        return usedByCustomer.getOrDefault(customer, 0.0) / capacity();
+    }
+
+    /** Returns the share of a rank's offered work that finished before its deadline. */
+    double inTime(Rank rank) {
+        return (double) inTime.getOrDefault(rank, 0) / offered.get(rank);
+    }
+
+    /** Returns the slot time of work that finished before its deadline, relative to capacity. */
+    double useful() {
+        return usefulNanos / capacity();
+    }
+
+    private void count(Work<Long> work, long now) {
+        double used = Math.max(0, Math.min(now, endNanos) - Math.min(now - work.payload(), endNanos));
+        usedNanos.merge(work.rank(), used, Double::sum);
+        usedByCustomer.merge(work.customer(), used, Double::sum);
+        if (now <= work.deadlineNanos()) {
+            inTime.merge(work.rank(), 1, Integer::sum);
+            usefulNanos += used;
+        }
+    }
+
+    private double capacity() {
+        return (double) slots * endNanos;
+    }
+
+    private record Event(long atNanos, boolean finish, Work<Long> work) {}
+}
