--- a/testing/src/main/java/io/carawaylift/testing/demo/PlatformRecords.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/PlatformRecords.java
@@ -38,7 +38,7 @@
     void writeFirst(Table table, List<BlockList.Block> blocks) {
         create(
                 RecordNames.TABLE,
-                new AcceptedTable(1, "first", "launcher", "starting table", "2026-01-01T00:00:00Z", table));
+                new AcceptedTable(1, "first", "launcher", "starting table", "2026-01-01T00:00:00Z", List.of(), table));
         create(RecordNames.BLOCKS_PREFIX + "0", new BlockList(blocks));
     }
 
--- a/testing/src/main/java/io/carawaylift/testing/measure/OwnershipWorld.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/OwnershipWorld.java
@@ -157,7 +157,15 @@
 
     private void startEntry(String host, long incarnation) {
         Member member = new Member(
-                new EntryProcess(host, incarnation), REGION, domainOf.get(host), "", "", "", "", MemberState.ACTIVE);
+                new EntryProcess(host, incarnation),
+                REGION,
+                domainOf.get(host),
+                "",
+                "",
+                "",
+                "",
+                "",
+                MemberState.ACTIVE);
         entries.put(host, new SimulatedEntry(this, member, rate(), offset()));
         toControl(host, SimulatedControl::sendAllRecords);
     }
