--- a/testing/src/main/java/io/carawaylift/testing/demo/ReportPrinter.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/ReportPrinter.java
@@ -13,8 +13,6 @@
 
 /** Prints steps as tables and collects them for a JSON file. */
 final class ReportPrinter {
-    private static final String ROW = "  %-14s %-10s %7.0f %7d %8d %7d %8d %7d %7d %5d %5d %5d %5d %8.1f %8.1f%n";
-    private static final String HEAD = "  %-14s %-10s %7s %7s %8s %7s %8s %7s %7s %5s %5s %5s %5s %8s %8s%n";
 
     private final PrintStream out;
     private final List<StepReport> steps = new ArrayList<>();
@@ -34,7 +32,7 @@
         if (!step.parts().isEmpty()) {
             out.printf(
                     Locale.ROOT,
-                    HEAD,
+                    "  %-14s %-10s %7s %7s %8s %7s %8s %7s %7s %5s %5s %5s %5s %8s %8s%n",
                     "work",
                     "rank",
                     "rate/s",
@@ -79,7 +77,7 @@
     private void row(PartReport part) {
         out.printf(
                 Locale.ROOT,
-                ROW,
+                "  %-14s %-10s %7.0f %7d %8d %7d %8d %7d %7d %5d %5d %5d %5d %8.1f %8.1f%n",
                 part.name(),
                 part.rank(),
                 part.ratePerSecond(),
