--- a/decisions/src/test/java/io/carawaylift/decisions/membership/DomainMembersTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/membership/DomainMembersTest.java
@@ -78,7 +78,7 @@
 
     private static MemberReport report(String domain, String host, long incarnation, long heartbeat) {
         Member member =
-                new Member(new EntryProcess(host, incarnation), "r1", domain, "", "", "", "", MemberState.ACTIVE);
+                new Member(new EntryProcess(host, incarnation), "r1", domain, "", "", "", "", "", MemberState.ACTIVE);
         return new MemberReport(member, heartbeat, 0, List.of(), List.of());
     }
 }
--- a/decisions/src/test/java/io/carawaylift/decisions/ownership/OwnershipPlannerTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/ownership/OwnershipPlannerTest.java
@@ -173,7 +173,7 @@
     }
 
     private void beat(String host, String domain, long number, Release... released) {
-        Member member = new Member(new EntryProcess(host, 1), "r1", domain, "", "", "", "", MemberState.ACTIVE);
+        Member member = new Member(new EntryProcess(host, 1), "r1", domain, "", "", "", "", "", MemberState.ACTIVE);
         members.heartbeatReceived(
                 new MemberReport(member, number, 0, List.of(released), List.of()), number > 1 ? 10 * SECOND : 0);
     }
--- a/decisions/src/test/java/io/carawaylift/decisions/ownership/TakeoverPolicyTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/ownership/TakeoverPolicyTest.java
@@ -128,6 +128,6 @@
     }
 
     private static Member member(String host, String domain) {
-        return new Member(new EntryProcess(host, 1), "r1", domain, "", "", "", "", MemberState.ACTIVE);
+        return new Member(new EntryProcess(host, 1), "r1", domain, "", "", "", "", "", MemberState.ACTIVE);
     }
 }
