--- a/testing/src/main/java/io/carawaylift/testing/measure/ControlCostMeasure.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/ControlCostMeasure.java
@@ -95,7 +95,7 @@
                     sample.bytesPerSecond(),
                     sample.memoryKib());
         }
-        out.printf("%n%-28s %-8s %30s %30s%n", "duty", "size of", "cpu slope/intercept/r2", "bytes slope/intercept/r2");
+        out.printf("%n%-28s %-8s (slope / intercept / r2)%n", "duty", "size of");
         for (Growth growth : report.growth()) {
             out.printf("%-28s %-8s %30s %30s%n", growth.duty(), growth.dimension(), growth.cpuMicros(), growth.bytes());
         }
--- a/testing/src/main/java/io/carawaylift/testing/measure/SimulatedControl.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/SimulatedControl.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 
 /** Control program of one host: relays heartbeats, reports, plans and takes over. */
@@ -158,7 +159,7 @@
 
     private void exchange() {
         String peer = world.randomHost();
-        Map<String, SimulatedPlatform.Stored> copy = Map.copyOf(known);
+        Map<String, SimulatedPlatform.Stored> copy = new TreeMap<>(known);
         world.send(host, peer, control -> copy.forEach((name, stored) -> control.learn(name, stored, false)));
     }
 
@@ -221,7 +222,7 @@
             String name = RecordNames.owners(each);
             world.read(this, host, name, found -> {
                 found.ifPresent(stored -> versions.put(name, stored.version()));
-                confirm(record, Map.copyOf(versions));
+                confirm(record, new TreeMap<>(versions));
             });
         }
     }
--- a/testing/src/main/java/io/carawaylift/testing/measure/SimulatedEntry.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/SimulatedEntry.java
@@ -2,11 +2,14 @@
 
 import io.carawaylift.decisions.ownership.LeaseGuard;
 import io.carawaylift.decisions.ownership.LeaseTimes;
+import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.Member;
 import io.carawaylift.model.MemberReport;
 import io.carawaylift.model.MemberState;
 import io.carawaylift.model.OwnersRecord;
 import io.carawaylift.model.Ownership;
+import io.carawaylift.model.Release;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -18,6 +21,7 @@
     private final LeaseGuard guard;
     private final String host;
     private Member member;
+    private final Map<String, EntryProcess> owners = new HashMap<>();
     private long heartbeat;
 
     SimulatedEntry(OwnershipWorld world, Member member, double rate, long offset) {
@@ -39,6 +43,7 @@
     }
 
     void ownersChanged(String name, long version, OwnersRecord record) {
+        record.endpoints().forEach(entry -> owners.put(entry.endpoint(), entry.owner()));
         guard.ownersChanged(
                 name,
                 version,
@@ -77,15 +82,19 @@
     private void sendHeartbeat() {
         heartbeat++;
         guard.heartbeatSent(heartbeat, clock());
-        MemberReport report = new MemberReport(
-                member,
-                heartbeat,
-                1,
-                guard.released(id -> world.endpoint(id).inFlight(member.process()), clock()),
-                List.of());
+        MemberReport report = new MemberReport(member, heartbeat, 1, released(), List.of());
         world.toControl(host, control -> control.entryHeartbeat(report));
     }
 
+    private List<Release> released() {
+        List<Release> releases = guard.released(id -> world.endpoint(id).inFlight(member.process()), clock());
+        return world.has(SimulatedRule.RELEASE_BY_EARLIER_OWNER)
+                ? releases
+                : releases.stream()
+                        .filter(release -> member.process().equals(owners.get(release.endpoint())))
+                        .toList();
+    }
+
     private void dispatch() {
         for (SimulatedEndpoint endpoint : world.endpoints()) {
             int permitted =
--- a/testing/src/main/java/io/carawaylift/testing/measure/SimulatedRule.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/SimulatedRule.java
@@ -13,5 +13,7 @@
     /** A successor promises nothing while its update is unresolved. */
     NO_PROMISE_WHILE_UNRESOLVED,
     /** A new owner waits for an earlier owner that was replaced twice. */
-    WAIT_FOR_FORGOTTEN_OWNERS
+    WAIT_FOR_FORGOTTEN_OWNERS,
+    /** A process that lost an endpoint by a takeover reports when it has stopped. */
+    RELEASE_BY_EARLIER_OWNER
 }
