--- a/entry/src/main/java/io/carawaylift/entry/EntryService.java
+++ b/entry/src/main/java/io/carawaylift/entry/EntryService.java
@@ -142,7 +142,7 @@
         new GracefulStop(settings.stopLimit(), clock).await(this::lookupLifetimeMs, this::isServed);
         server.stopAccepting();
         // A request may have arrived on an open connection meanwhile.
-        new GracefulStop(settings.stopLimit(), clock).await(() -> 0, () -> serverState.inFlight() == 0);
+        new GracefulStop(settings.stopLimit(), clock).await(() -> 0, this::isIdle);
         abort();
     }
 
@@ -164,7 +164,12 @@
     private boolean isServed() {
         Topology topology = steering.topology();
         boolean ownsNothing = topology == null || !topology.ownsAny(self);
-        return ownsNothing && serverState.inFlight() == 0;
+        return ownsNothing && isIdle();
+    }
+
+    /** A once-only request runs on when its caller has left, so the server's count is not enough. */
+    private boolean isIdle() {
+        return serverState.inFlight() == 0 && shards.isIdle();
     }
 
     private long lookupLifetimeMs() {
--- a/entry/src/main/java/io/carawaylift/entry/Shards.java
+++ b/entry/src/main/java/io/carawaylift/entry/Shards.java
@@ -160,6 +160,12 @@
                 .sum();
     }
 
+    /** Returns whether nothing waits and nothing is in flight. */
+    boolean isIdle() {
+        return local.values().stream().allMatch(shard -> total(shard.shard.load()) == 0)
+                && remote.values().stream().allMatch(Shards::isIdle);
+    }
+
     private RunningAttempt forward(Route route, InboundRequest request, ResultReceiver receiver) {
         Optional<Member> member = topology.member(route.owner());
         if (member.isEmpty()) {
