--- a/entry/src/test/java/io/carawaylift/entry/EntryServiceTest.java
+++ b/entry/src/test/java/io/carawaylift/entry/EntryServiceTest.java
@@ -277,14 +277,16 @@
         byte[] piece = new byte[1_000_000];
         AtomicInteger written = new AtomicInteger();
         try (ScriptedUpstream upstream = new ScriptedUpstream((run, out) -> {
-                    ScriptedUpstream.write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + pieces * 1_000_000 + "\r\n\r\n");
+                    ScriptedUpstream.write(
+                            out, "HTTP/1.1 200 OK\r\nContent-Length: " + pieces * 1_000_000 + "\r\n\r\n");
                     for (int count = 0; count < pieces; count++) {
                         out.write(piece);
                         written.incrementAndGet();
                     }
                     return true;
                 });
-                Socket caller = new Socket(InetAddress.getLoopbackAddress(), cluster.service(first).port())) {
+                Socket caller = new Socket(
+                        InetAddress.getLoopbackAddress(), cluster.service(first).port())) {
             cluster.endpoint("e1", upstream, 1, first).publish();
             ScriptedUpstream.write(caller.getOutputStream(), "GET /s/file HTTP/1.1\r\nHost: x\r\n\r\n");
             assertThat(caller.getInputStream().read()).isEqualTo('H');
@@ -302,7 +304,9 @@
     void anOwnerThatCannotBeReachedIsLeftOutUntilItIsDueForAnotherTry() throws IOException {
         EntryProcess second = cluster.start("h2");
         try (ScriptedUpstream upstream = new ScriptedUpstream(ScriptedUpstream.ok("hello"))) {
-            cluster.endpoint("e1", upstream, 1, first).endpoint("e2", upstream, 50, second).publish();
+            cluster.endpoint("e1", upstream, 1, first)
+                    .endpoint("e2", upstream, 50, second)
+                    .publish();
             cluster.service(second).abort();
             int refused = 0;
             for (int count = 0; count < 40; count++) {
--- a/entry/src/test/java/io/carawaylift/entry/LinkPacerTest.java
+++ b/entry/src/test/java/io/carawaylift/entry/LinkPacerTest.java
@@ -23,10 +23,7 @@
     private final HashedWheelTimer timer = new HashedWheelTimer();
     private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
     private final LinkPacer pacer = new LinkPacer("r", now::get, timer, new EntryMetrics(registry));
-    private final Topology topology = new Topology(
-            1,
-            Table.parse(
-                    """
+    private final Topology topology = new Topology(1, Table.parse("""
                     [[region]]
                     name = "r"
                     weight = 1
@@ -37,9 +34,7 @@
                     from = "r"
                     to = "far"
                     max_mbit_per_s = 1
-                    """),
-            List.of(),
-            List.of());
+                    """), List.of(), List.of());
 
     @AfterEach
     void stop() {
@@ -69,9 +64,13 @@
         CountDownLatch sent = new CountDownLatch(2);
         assertThat(send("far", BYTES_PER_SECOND / 4, deadline, sent)).isTrue();
         assertThat(send("far", BYTES_PER_SECOND, deadline, sent)).isFalse();
-        assertThat(send("far", BYTES_PER_SECOND / 4, deadline + 10 * SECOND, sent)).isTrue();
+        assertThat(send("far", BYTES_PER_SECOND / 4, deadline + 10 * SECOND, sent))
+                .isTrue();
         assertThat(sent.await(20, TimeUnit.SECONDS)).isTrue();
-        assertThat(registry.get("carawaylift.link.bytes").tag("to", "far").counter().count())
+        assertThat(registry.get("carawaylift.link.bytes")
+                        .tag("to", "far")
+                        .counter()
+                        .count())
                 .isAtLeast(BYTES_PER_SECOND / 2.0);
     }
 }
