Hold the flood test to the design's 95 % of useful work

Cause: the first threshold was 92 %, below the target of the design page. Conclusion: the test now checks the target itself.

--- a/decisions/src/test/java/io/carawaylift/decisions/admission/AdmissionFloodTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/admission/AdmissionFloodTest.java
@@ -29,7 +29,7 @@
     @ParameterizedTest
     @CsvSource({"3,11", "5,12", "7,13"})
     void anUrgentFloodLeavesUsefulWorkNearCapacity(int slots, long seed) {
-        assertThat(urgentFlood(queue(slots), slots, seed).useful()).isAtLeast(0.92);
+        assertThat(urgentFlood(queue(slots), slots, seed).useful()).isAtLeast(0.95);
     }
 
     /** Guards against urgent work waiting behind the flood. */
@@ -42,7 +42,7 @@
         assertThat(run.useful()).isAtLeast(0.95);
     }
 
-    /** Guards against a customer that gets more by sending more or longer requests. */
+    /** Guards against a customer that gets more by sending more requests. */
     @Test
     void customersOfARankGetEqualSlotTime() {
         FloodRun run = new FloodRun(queue(3), 3, SECONDS, 31)
@@ -65,7 +65,7 @@
                 .run();
 
         assertThat(urgent.share(Rank.STANDARD)).isLessThan(0.9 * 0.3);
-        assertThat(urgent.useful()).isLessThan(0.92);
+        assertThat(urgent.useful()).isLessThan(0.95);
         assertThat(deferrable.inTime(Rank.URGENT)).isLessThan(0.99);
         assertThat(customers.share("small")).isLessThan(0.45);
     }
