Keep the mean plus three standard deviations for the service

Cause: with two deviations 5 % of the slot time in an urgent flood still finished late, just above the target. Conclusion: kept.

--- a/decisions/src/main/java/io/carawaylift/decisions/admission/ServiceTime.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/ServiceTime.java
@@ -17,9 +17,9 @@
         variance = (1 - weight) * (variance + weight * gap * gap);
     }
 
-    /** Returns a time that most requests do not exceed: the mean plus two standard deviations, 0 before the first sample. */
+    /** Returns a time that most requests do not exceed: the mean plus three standard deviations, 0 before the first sample. */
     double likelyMost() {
-        return mean + 2 * Math.sqrt(variance);
+        return mean + 3 * Math.sqrt(variance);
     }
 
     boolean known() {
