Stay joining until the process has its part of the links

The state JOINING is documented as having no endpoints; it was left as soon as a table was known. Now it is left when the link part is granted. Start-up takes a lease longer.

--- a/entry/src/main/java/io/carawaylift/entry/EntryService.java
+++ b/entry/src/main/java/io/carawaylift/entry/EntryService.java
@@ -113,7 +113,15 @@
         pacer.update(topology, leases.isInDoubt(), joinTime.isJoining(clock.getAsLong()));
         shards.topology(topology);
         steering.topology(topology);
-        if (state == MemberState.JOINING) {
+        leaveJoining();
+    }
+
+    /**
+     * Becomes active when this process has its part of the links. An owner without a part cannot send answers to other
+     * regions, so the work it ran would be lost.
+     */
+    private void leaveJoining() {
+        if (state == MemberState.JOINING && steering.topology() != null && !joinTime.isJoining(clock.getAsLong())) {
             state = MemberState.ACTIVE;
         }
     }
@@ -194,6 +202,7 @@
         Topology topology = steering.topology();
         if (topology != null) {
             pacer.update(topology, leases.isInDoubt(), joinTime.isJoining(clock.getAsLong()));
+            leaveJoining();
         }
     }
 
