Exit 0 after a graceful stop

SIGTERM ended the programs with 143 although the design says 0: a shutdown hook does not change the exit code. Halting after the service has stopped does. Seen in the graceful stop of the demonstration.

--- a/runtime/src/main/java/io/carawaylift/runtime/Program.java
+++ b/runtime/src/main/java/io/carawaylift/runtime/Program.java
@@ -59,7 +59,8 @@
                     log.log(Level.INFO, "stopping");
                     service.stop();
                     log.log(Level.INFO, "stopped");
-                    stopped.countDown();
+                    // Without this the exit code would be that of the signal, which looks like a failure.
+                    Runtime.getRuntime().halt(0);
                 },
                 "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
