--- a/testing/src/main/java/io/carawaylift/testing/measure/FleetData.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/FleetData.java
@@ -38,7 +38,8 @@
                 domain,
                 "http://127.0.0.1:9000",
                 "http://127.0.0.1:9001",
-                "127.0.0.1:9002",
+                "http://127.0.0.1:9002",
+                "127.0.0.1:9003",
                 MemberState.ACTIVE);
     }
 
@@ -85,6 +86,7 @@
             int weight = i == changed ? 50 : 100;
             builder.put(new UpstreamRow("upstream-" + i, "calendar", REGION, "domain-" + i % 63, weight, 0, false));
         }
-        return new AcceptedTable(version, "change-" + version, "operator", "weight", "2026-01-01", builder.build());
+        return new AcceptedTable(
+                version, "change-" + version, "operator", "weight", "2026-01-01", List.of(), builder.build());
     }
 }
