Add a repeatable seed for epochs in releases and correct a claim

Cause: seeds 10752 and 20046 were said to fail without the margin after the hold. They were seen to fail once each, while the order of digest exchanges still depended on the JVM. Ruled out: a repeatable seed among 1 to 38, 100 to 305, 10000 to 10029, 11000 to 11189, 20000 to 20029, 21000 to 21189, 30000 to 30030 and 31000 to 31202, which all hold in a trial without the margin. LeaseGuardTest pins the margin instead. Before: the test comment named the two seeds as failures.

--- a/decisions/src/test/java/io/carawaylift/decisions/ownership/LeaseGuardTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/ownership/LeaseGuardTest.java
@@ -44,7 +44,7 @@
         assertThat(permitted(0)).isEqualTo(5);
     }
 
-    /** Guards against work of the earlier owner and of the new one at the same time; seed 10752 had no margin here. */
+    /** Guards against work of the earlier owner and of the new one at the same time; the hold needs the margin. */
     @Test
     void ownerWaitsAfterATakeover() {
         learn(1, entry(SELF, 1, OwnershipMode.HALF, true, OTHER, null), 0);
--- a/testing/src/test/java/io/carawaylift/testing/measure/OwnershipRunTest.java
+++ b/testing/src/test/java/io/carawaylift/testing/measure/OwnershipRunTest.java
@@ -11,12 +11,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class OwnershipRunTest {
-    /**
-     * Guards against endpoints above their slots and endpoints that stay without a full owner; 10752 and 20046 failed while
-     * the hold had no margin.
-     */
+    /** Guards against endpoints above their slots and endpoints that stay without a full owner. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 42, 10752, 20046})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 204, 10752, 20046})
     void noEndpointIsOverloadedAndAllRecover(long seed) {
         OwnershipRun.runSeed(seed, Set.of());
     }
@@ -26,6 +23,7 @@
     @CsvSource({
         "3, WAIT_AFTER_TAKEOVER, in flight",
         "6, OWNERS_READ_AFTER_WRITE, in flight",
+        "204, EPOCH_OF_RELEASE, in flight",
         "6, RELEASE_BY_EARLIER_OWNER, not served in full"
     })
     void runFindsTheFaultWhenARuleIsOff(long seed, SimulatedRule rule, String problem) {
