--- a/entry/src/test/java/io/carawaylift/entry/FloodTest.java
+++ b/entry/src/test/java/io/carawaylift/entry/FloodTest.java
@@ -64,7 +64,9 @@
         for (int number = 0; number < REQUESTS_PER_CALLER; number++) {
             String path = "/" + caller + "-" + number;
             Request.Builder request = cluster.request(random.nextBoolean() ? first : second, "/s" + path)
-                    .header(Headers.RANK, RANKS.get(random.nextInt(RANKS.size())).label())
+                    .header(
+                            Headers.RANK,
+                            RANKS.get(random.nextInt(RANKS.size())).label())
                     .header(Headers.CUSTOMER, "c" + random.nextInt(3))
                     .header(Headers.DEADLINE_MS, Integer.toString(500 + random.nextInt(1500)));
             check(path, cluster.call(request.build()));
