Test the status page and the metrics over HTTP

Cause: the pages of the admin server had only been compiled. Before: untested. After: one test reads /status and /metrics of a reporter. Ruled out: a test of StatusPage alone, which would not cover the route.

--- a/control/src/test/java/io/carawaylift/control/ControlClusterTest.java
+++ b/control/src/test/java/io/carawaylift/control/ControlClusterTest.java
@@ -23,6 +23,10 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -82,6 +86,21 @@
         assertThat(host("a2").service.status().read().roles().agent()).isTrue();
     }
 
+    @Test
+    void operatorsSeeRolesVersionsAndMetrics() throws IOException, InterruptedException {
+        awaitPlanned();
+        String status = host("a1").page("/status");
+        assertThat(status).contains("\"reporterOf\" : [\n\"fd-a\"");
+        assertThat(status).contains("\"table\" : 1");
+        assertThat(status).contains("\"bytesSent\"");
+
+        String metrics = host("a1").page("/metrics");
+        assertThat(metrics).contains("carawaylift_platform_calls_total{kind=\"watch\"}");
+        assertThat(metrics).contains("carawaylift_peer_bytes_total{direction=\"sent\"}");
+        assertThat(metrics).contains("carawaylift_table_version 1.0");
+        assertThat(metrics).contains("carawaylift_table_push_seconds_count 1");
+    }
+
     /** Guards against a host that only learns a table from the platform itself. */
     @Test
     void aTableReachesAllHostsAlsoWhileSomeCannotReachThePlatform() {
@@ -257,6 +276,7 @@
         private final MemoryPlatform.Gate gate;
         private final List<String> seeds;
         private final int port;
+        private final int adminPort;
         private ControlService service;
         private EntryDouble entry;
         private volatile boolean alive = true;
@@ -266,11 +286,24 @@
             this.domain = domain;
             this.gate = gate;
             this.seeds = seeds;
+            this.port = freePort();
+            this.adminPort = freePort();
+        }
+
+        private static int freePort() throws IOException {
             try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                this.port = free.getLocalPort();
+                return free.getLocalPort();
             }
         }
 
+        String page(String path) throws IOException, InterruptedException {
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + adminPort + path))
+                    .build();
+            return HttpClient.newHttpClient()
+                    .send(request, HttpResponse.BodyHandlers.ofString())
+                    .body();
+        }
+
         void start() {
             String toml = String.join(
                     "\n",
@@ -283,7 +316,7 @@
                     "url = \"" + gate.url() + "\"",
                     "[control]",
                     "port = " + port,
-                    "admin_port = 0",
+                    "admin_port = " + adminPort,
                     "seeds = ["
                             + String.join(
                                     ", ",
