--- a/testing/src/main/java/io/carawaylift/testing/demo/Demonstration.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Demonstration.java
@@ -17,6 +17,10 @@
     private static final long READY_SECONDS = 60;
     private static final long RECOVERY_SECONDS = 60;
     private static final double STEADY = 0.5;
+
+    /** Room for the command and for the shift after it. */
+    private static final double EDIT_SECONDS = 20;
+
     private static final int CLIENTS_PER_DOMAIN = 6;
 
     private final Fleet fleet;
@@ -56,7 +60,7 @@
         attempt("warm-up", () -> step("warm-up", loads.mixed(0.3), seconds, Event.NONE));
         attempt("steady load", this::steady);
         attempt("latency of one hop", () -> add("latency of one hop", new HopLatency(fleet).measure()));
-        attempt("table edit", () -> step("table edit that moves traffic", seconds * 2, operations::moveTraffic));
+        attempt("table edit", () -> step("table edit that moves traffic", Math.max(EDIT_SECONDS, seconds * 2), operations::moveTraffic));
         attempt("drain", () -> step("drain of an upstream in the table", seconds, operations::drainUpstream));
         attempt("leaving", () -> step("an upstream listed as leaving", seconds, operations::listLeaving));
         attempt("kill entry", () -> step("SIGKILL of an entry program", seconds * 2, operations::killEntry));
--- a/testing/src/main/java/io/carawaylift/testing/demo/Launcher.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Launcher.java
@@ -91,6 +91,15 @@
         return process.exitValue();
     }
 
+    /** Sends a signal, for example {@code STOP}, to a running process. */
+    public void signal(String name, String signal) {
+        String pid = Long.toString(processes.get(name).pid());
+        start("signal", List.of("kill", "-" + signal, pid));
+        if (await("signal", EXIT_SECONDS) != 0) {
+            throw new IllegalStateException("signal " + signal + " could not be sent to " + name + " " + pid);
+        }
+    }
+
     /** Waits for a process that ends by itself; returns its exit code, or kills it and returns -1. */
     public int await(String name, long seconds) {
         Process process = processes.remove(name);
--- a/testing/src/main/java/io/carawaylift/testing/demo/Operations.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Operations.java
@@ -52,6 +52,7 @@
         ServicePlan service = fleet.plan().services().get(0);
         String upstream = fleet.plan().upstream(service, fleet.plan().domains().get(1));
         startDrainClock(upstream);
+        facts.put("counted from", "the start of the command, which starts a JVM first");
         facts.put("command", command("drain", upstream, "--wait", "--reason", "demonstration"));
         describeDrain(upstream, facts);
         facts.put("undrain", command("undrain", upstream, "--reason", "demonstration"));
--- a/testing/src/main/java/io/carawaylift/testing/platform/PlatformFaults.java
+++ b/testing/src/main/java/io/carawaylift/testing/platform/PlatformFaults.java
@@ -22,6 +22,7 @@
     private volatile long delayMs;
     private volatile long hostsLagMs;
     private volatile boolean repeatEvents;
+    private volatile String losePrefix = "";
 
     Mode mode() {
         return mode;
@@ -40,8 +41,8 @@
     }
 
     /** Returns whether the answer of the present write is to be lost, and counts it. */
-    boolean takeLostAnswer() {
-        return answersToLose.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
+    boolean takeLostAnswer(String name) {
+        return name.startsWith(losePrefix) && answersToLose.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
     }
 
     /** Sets the faults named by the query; others stay as they are. */
@@ -50,6 +51,7 @@
         delayMs = request.number("delayMs", delayMs);
         hostsLagMs = request.number("hostsLagMs", hostsLagMs);
         request.parameter("repeatEvents").ifPresent(text -> repeatEvents = Boolean.parseBoolean(text));
+        request.parameter("losePrefix").ifPresent(text -> losePrefix = text);
         request.parameter("loseAnswers").ifPresent(text -> answersToLose.set(Long.parseLong(text)));
     }
 
@@ -59,6 +61,7 @@
         state.put("delayMs", delayMs);
         state.put("hostsLagMs", hostsLagMs);
         state.put("repeatEvents", repeatEvents);
+        state.put("losePrefix", losePrefix);
         state.put("loseAnswers", answersToLose.get());
         return state;
     }
--- a/testing/src/main/java/io/carawaylift/testing/platform/SimulatedPlatform.java
+++ b/testing/src/main/java/io/carawaylift/testing/platform/SimulatedPlatform.java
@@ -23,7 +23,7 @@
 
 /**
  * The platform on one port and its control interface on another. Control interface: {@code POST /faults?mode=
- * up|refuse|silent&delayMs=&loseAnswers=&repeatEvents=&hostsLagMs=}, {@code GET /faults}, {@code GET /calls}, and
+ * up|refuse|silent&delayMs=&loseAnswers=&losePrefix=&repeatEvents=&hostsLagMs=}, {@code GET /faults}, {@code GET /calls}, and
  * {@code PUT /hosts/<failure domain>}, by which the platform itself changes its list after {@code hostsLagMs}.
  */
 public final class SimulatedPlatform implements Service {
@@ -140,7 +140,7 @@
             count("conflict");
             return Reply.text(412, "another version is stored");
         }
-        if (faults.takeLostAnswer()) {
+        if (faults.takeLostAnswer(name)) {
             count("lost");
             return Reply.LOST;
         }
