--- a/entry/src/main/java/io/carawaylift/entry/EntryProgram.java
+++ b/entry/src/main/java/io/carawaylift/entry/EntryProgram.java
@@ -6,8 +6,6 @@
 import io.carawaylift.runtime.Program;
 import io.carawaylift.runtime.Service;
 import io.carawaylift.runtime.Settings;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 
 /** Main class of {@code carawaylift-entry}. */
 public final class EntryProgram {
@@ -21,7 +19,7 @@
     private static Service create(Settings settings) {
         EntrySettings entry = EntrySettings.of(settings);
         EntryProcess self = new EntryProcess(entry.host().id(), System.currentTimeMillis());
-        return new ExitingService(new EntryService(entry, self, identity -> link(entry, identity)));
+        return new EntryService(entry, self, identity -> link(entry, identity));
     }
 
     private static ControlLink link(EntrySettings settings, ControlLink.Identity identity) {
@@ -30,30 +28,4 @@
                 .identity(identity)
                 .build();
     }
-
-    /**
-     * Ends the process with status 0 after a graceful stop. The Java virtual machine otherwise ends with 143 after SIGTERM,
-     * which a supervisor cannot tell from a stop that was cut short.
-     */
-    private static final class ExitingService implements Service {
-        private static final Logger LOG = System.getLogger("carawaylift-entry");
-
-        private final EntryService service;
-
-        ExitingService(EntryService service) {
-            this.service = service;
-        }
-
-        @Override
-        public void start() {
-            service.start();
-        }
-
-        @Override
-        public void stop() {
-            service.stop();
-            LOG.log(Level.INFO, "graceful stop is complete");
-            Runtime.getRuntime().halt(0);
-        }
-    }
 }
--- a/testing/src/test/java/io/carawaylift/testing/demo/RealProcessesIT.java
+++ b/testing/src/test/java/io/carawaylift/testing/demo/RealProcessesIT.java
@@ -72,7 +72,9 @@
 
     @BeforeEach
     void awaitWholeSite() {
-        assertWithMessage("site is whole").that(Await.until(READY_SECONDS, fleet::ready)).isAtLeast(0);
+        assertWithMessage("site is whole")
+                .that(Await.until(READY_SECONDS, fleet::ready))
+                .isAtLeast(0);
         fleet.upstreams().reset();
     }
 
@@ -173,8 +175,7 @@
         loadNumber++;
         LoadPart refresh = new LoadPart(
                 "refresh", "calendar", "GET", "/calendar", 200, Rank.STANDARD, 20, 4_000, PLAN.customers());
-        return new RunningLoad(
-                new Load(caller, "it" + loadNumber, List.of(refresh, once()), loadNumber, 100), seconds);
+        return new RunningLoad(new Load(caller, "it" + loadNumber, List.of(refresh, once()), loadNumber, 100), seconds);
     }
 
     private static LoadPart once() {
