Keep a slot in use until unanswered work is over at the endpoint

Cause: a process that resumes after a pause reads requests whose callers have left. It dispatched each, noticed the closed connection, cancelled the call and used the slot again at once, while the endpoint still ran the request; short deadlines were counted by the endpoint from their later arrival. RealProcessesIT.entryProcessPausedForLongerThanItsLease saw 6 to 13 requests in flight at an endpoint of 3 slots. Before: the slot was free when the call was cancelled. After: an unanswered request keeps its slot until its deadline plus 250 ms, a body that was not read to its end for at most 1 s. A silent connection also evicts the idle connections.

--- a/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
+++ b/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /** The endpoints of one upstream that this process owns. Guarded by the lock of the shard that it belongs to. */
@@ -18,6 +19,18 @@
     /** A once-only request adds a new connection while idle ones of repeatable requests are still open. */
     private static final int CONNECTIONS_PER_SLOT = 2;
 
+    /** Time in which an endpoint that writes an answer notices that the connection was closed. */
+    private static final long ABORT_NOTICE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /**
+     * An endpoint counts the announced time left from when the request arrives there. A slot that is used again right at the
+     * deadline would overlap with a request that took longer than the margin to arrive.
+     */
+    private static final long ARRIVAL_ALLOWANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Taken off the deadline that endpoints are told, so that their work ends before its slot is used again. */
+    private static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
     private final LeaseBook leases;
     private final OutboundCalls calls;
     private final LongSupplier clock;
@@ -93,7 +106,7 @@
     }
 
     @Override
-    public void release(QueuedJob job, AttemptResult result, boolean complete, long nowNanos) {
+    public void release(QueuedJob job, long nowNanos) {
         String id = job.target();
         int left = inFlight.merge(id, -1, Integer::sum);
         Invariant.check(left >= 0, "requests in flight at an endpoint must not be negative", left);
@@ -101,7 +114,26 @@
             inFlight.remove(id);
             drains.idle(id, nowNanos);
         }
-        if (result instanceof Answered && complete) {
+    }
+
+    /**
+     * A request that was sent and not answered may run at the endpoint until its deadline, also after its connection was
+     * closed: the endpoint notices a closed connection late, and never if something between has lost track of it. An answer
+     * that had begun ends soon after its connection is closed, because writing it fails.
+     */
+    @Override
+    public long busyUntilNanos(QueuedJob job, AttemptResult result, boolean ended, long nowNanos) {
+        if (result instanceof Refused || (result instanceof Answered && ended)) {
+            return nowNanos;
+        }
+        long deadline = job.request().deadlineNanos() + ARRIVAL_ALLOWANCE_NANOS;
+        return result instanceof Answered ? Math.min(deadline, nowNanos + ABORT_NOTICE_NANOS) : deadline;
+    }
+
+    @Override
+    public void judge(QueuedJob job, AttemptResult result, boolean healthy, long nowNanos) {
+        String id = job.target();
+        if (result instanceof Answered && healthy) {
             health.succeeded(id, nowNanos);
         } else if (showsFailure(result, job)) {
             health.failed(id, nowNanos);
@@ -124,7 +156,7 @@
                 request.outboundHeaders(),
                 request.body(),
                 request.deadlineNanos(),
-                0,
+                DEADLINE_MARGIN_NANOS,
                 !request.repeatable() || request.attempt() > 1,
                 now -> lastCheck(id, now));
         return calls.start(outbound, result -> receiver.accept(AnswerClassifier.ofEndpoint(result, id)));
--- a/entry/src/main/java/io/carawaylift/entry/OutboundCalls.java
+++ b/entry/src/main/java/io/carawaylift/entry/OutboundCalls.java
@@ -121,6 +121,10 @@
             return;
         } catch (IOException e) {
             failure = progress.failure(e);
+            if (failure instanceof AttemptResult.Unknown && progress.status() == 0) {
+                // Whatever made this connection silent may have hit the idle ones too.
+                pooled.connectionPool().evictAll();
+            }
         } finally {
             deadline.cancel();
         }
--- a/entry/src/main/java/io/carawaylift/entry/OwnerSlots.java
+++ b/entry/src/main/java/io/carawaylift/entry/OwnerSlots.java
@@ -53,8 +53,18 @@
     }
 
     @Override
-    public void release(QueuedJob job, AttemptResult result, boolean complete, long nowNanos) {
+    public void release(QueuedJob job, long nowNanos) {
         outstanding--;
+    }
+
+    /** The window bounds what waits at the owner, which counts its slots itself. */
+    @Override
+    public long busyUntilNanos(QueuedJob job, AttemptResult result, boolean ended, long nowNanos) {
+        return nowNanos;
+    }
+
+    @Override
+    public void judge(QueuedJob job, AttemptResult result, boolean healthy, long nowNanos) {
         boolean notConnected = result.code() == ResultCode.CONNECT_FAILED && !isByPeer(result);
         if (notConnected || result.code() == ResultCode.CONNECTION_LOST) {
             health.failed(upstream, nowNanos);
--- a/entry/src/main/java/io/carawaylift/entry/QueueShard.java
+++ b/entry/src/main/java/io/carawaylift/entry/QueueShard.java
@@ -9,11 +9,13 @@
 import io.carawaylift.model.Rank;
 import io.carawaylift.model.ResultCode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -28,6 +30,10 @@
     private final SlotSource slots;
     private final LongSupplier clock;
     private final Set<QueuedJob> waiting = new LinkedHashSet<>();
+    private final PriorityQueue<Held> held = new PriorityQueue<>(Comparator.comparingLong(Held::untilNanos));
+    /** A job that ended here but may still run at the other side; its slot counts as used until then. */
+    private record Held(QueuedJob job, long untilNanos) {}
+
     private long nextNumber;
     private long dispatched;
     private long refused;
@@ -68,7 +74,7 @@
         List<Runnable> actions = new ArrayList<>();
         boolean stillWaiting;
         synchronized (lock) {
-            if (waiting.isEmpty()) {
+            if (waiting.isEmpty() && held.isEmpty()) {
                 return false;
             }
             long now = clock.getAsLong();
@@ -172,6 +178,7 @@
     }
 
     private void pump(long now, List<Runnable> actions) {
+        releaseHeld(now);
         while (updateLimit(now) > 0) {
             Optional<Work<QueuedJob>> next = queue.next(now);
             if (next.isEmpty()) {
@@ -209,25 +216,37 @@
             try {
                 job.accept(answer.withRest(body));
             } finally {
-                release(job, result, !body.hasFailed());
+                release(job, result, body);
             }
             return;
         }
-        release(job, result, true);
+        release(job, result, true, true);
         job.accept(result);
     }
 
-    private void release(QueuedJob job, AttemptResult result, boolean complete) {
+    private void release(QueuedJob job, AttemptResult result, ObservedBody body) {
+        release(job, result, body.hasEnded(), !body.hasFailed());
+    }
+
+    private void release(QueuedJob job, AttemptResult result, boolean ended, boolean healthy) {
         List<Runnable> actions = new ArrayList<>();
         synchronized (lock) {
             long now = clock.getAsLong();
-            slots.release(job, result, complete, now);
-            queue.finished(job.work(), now);
+            slots.judge(job, result, healthy, now);
+            held.add(new Held(job, slots.busyUntilNanos(job, result, ended, now)));
             pump(now, actions);
         }
         actions.forEach(Runnable::run);
     }
 
+    private void releaseHeld(long now) {
+        while (!held.isEmpty() && held.peek().untilNanos() <= now) {
+            QueuedJob job = held.remove().job();
+            slots.release(job, now);
+            queue.finished(job.work(), now);
+        }
+    }
+
     private void displace(Work<QueuedJob> work, List<Runnable> actions) {
         waiting.remove(work.payload());
         refuse(work.payload(), Refused.of(ResultCode.DISPLACED, ""), actions);
--- a/entry/src/main/java/io/carawaylift/entry/SlotSource.java
+++ b/entry/src/main/java/io/carawaylift/entry/SlotSource.java
@@ -8,8 +8,19 @@
     /** Takes a slot for a job; called only while {@link #free} is positive. */
     void claim(QueuedJob job, long nowNanos);
 
-    /** Returns a slot. */
-    void release(QueuedJob job, AttemptResult result, boolean complete, long nowNanos);
+    /** Learns from the result of a job; {@code healthy} is false if its body broke off. */
+    void judge(QueuedJob job, AttemptResult result, boolean healthy, long nowNanos);
+
+    /**
+     * Returns until when the job's slot must count as used: {@code nowNanos} if the job is known to be over, later if it may
+     * still run at the other side.
+     *
+     * @param ended whether the answer was read to its end
+     */
+    long busyUntilNanos(QueuedJob job, AttemptResult result, boolean ended, long nowNanos);
+
+    /** Returns the job's slot. */
+    void release(QueuedJob job, long nowNanos);
 
     /** Sends the job's request; called without the lock. */
     OutboundCall send(QueuedJob job, ResultReceiver receiver);
