Keep the slot of once-only work whose caller has left

A cancelled once-only request was cancelled at the endpoint and its slot was given to the next one, but an upstream may run such work to its end. After a pause of 8.5 s an owner sent its backlog this way, request after request, because the senders had left: 8 requests above the 3 slots of an endpoint (RealProcessesIT.entryProcessPausedForLongerThanItsLease, twice: 4 and 8). Now the slot stays taken until the answer or the deadline: 1 above in the same test.

--- a/entry/src/main/java/io/carawaylift/entry/QueueShard.java
+++ b/entry/src/main/java/io/carawaylift/entry/QueueShard.java
@@ -125,11 +125,19 @@
             job.markCancelled();
             call = job.call();
         }
-        if (call != null) {
+        if (call != null && endsWhenCancelled(job)) {
             call.cancel();
         }
     }
 
+    /**
+     * Returns whether the endpoint stops work whose connection is closed. Once-only work may run on, so its slot stays
+     * taken until its answer or its deadline.
+     */
+    private static boolean endsWhenCancelled(QueuedJob job) {
+        return job.request().repeatable();
+    }
+
     void cancelWaiting(QueuedJob job) {
         boolean removed;
         synchronized (lock) {
@@ -195,7 +203,7 @@
         boolean cancelNow;
         synchronized (lock) {
             job.call(call);
-            cancelNow = job.isCancelled();
+            cancelNow = job.isCancelled() && endsWhenCancelled(job);
         }
         if (cancelNow) {
             call.cancel();
