--- a/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
+++ b/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
@@ -11,11 +11,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /** The endpoints of one upstream that this process owns. Guarded by the lock of the shard that it belongs to. */
 final class EndpointPool implements SlotSource {
     /** A once-only request adds a new connection while idle ones of repeatable requests are still open. */
+    /**
+     * The endpoint is told an earlier deadline, so that it has stopped before the slot is free again here.
+     */
+    private static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final int CONNECTIONS_PER_SLOT = 2;
 
     private final LeaseBook leases;
@@ -124,7 +130,7 @@
                 request.outboundHeaders(),
                 request.body(),
                 request.deadlineNanos(),
-                0,
+                DEADLINE_MARGIN_NANOS,
                 !request.repeatable() || request.attempt() > 1,
                 now -> lastCheck(id, now));
         return calls.start(outbound, result -> receiver.accept(AnswerClassifier.ofEndpoint(result, id)));
