--- a/testing/src/main/java/io/carawaylift/testing/demo/Demonstration.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Demonstration.java
@@ -60,7 +60,10 @@
         attempt("warm-up", () -> step("warm-up", loads.mixed(0.3), seconds, Event.NONE));
         attempt("steady load", this::steady);
         attempt("latency of one hop", () -> add("latency of one hop", new HopLatency(fleet).measure()));
-        attempt("table edit", () -> step("table edit that moves traffic", Math.max(EDIT_SECONDS, seconds * 2), operations::moveTraffic));
+        attempt(
+                "table edit",
+                () -> step(
+                        "table edit that moves traffic", Math.max(EDIT_SECONDS, seconds * 2), operations::moveTraffic));
         attempt("drain", () -> step("drain of an upstream in the table", seconds, operations::drainUpstream));
         attempt("leaving", () -> step("an upstream listed as leaving", seconds, operations::listLeaving));
         attempt("kill entry", () -> step("SIGKILL of an entry program", seconds * 2, operations::killEntry));
--- a/testing/src/test/java/io/carawaylift/testing/demo/RealProcessesIT.java
+++ b/testing/src/test/java/io/carawaylift/testing/demo/RealProcessesIT.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -47,7 +48,7 @@
     /** Longer than lease and margin, so that a successor may take over. */
     private static final long LONGER_THAN_LEASE_MS = 8_500;
 
-    @TempDir
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     static Path directory;
 
     private static final Map<String, FaultProxy> PROXIES = new ConcurrentHashMap<>();
@@ -72,7 +73,9 @@
 
     @BeforeEach
     void awaitWholeSite() {
-        assertWithMessage("site is whole").that(Await.until(READY_SECONDS, fleet::ready)).isAtLeast(0);
+        assertWithMessage("site is whole")
+                .that(Await.until(READY_SECONDS, fleet::ready))
+                .isAtLeast(0);
         fleet.upstreams().reset();
     }
 
@@ -135,23 +138,20 @@
     void lostAnswerOfATableWriteIsSettledByReadingBack() {
         long before = fleet.platform().table().version();
         fleet.platform().faults("losePrefix=table&loseAnswers=1");
-        fleet.launcher()
-                .script(
-                        "drain",
-                        "carawaylift",
-                        "drain",
-                        "--platform",
-                        fleet.platform().url(),
-                        "calendar-r-a",
-                        "--reason",
-                        "test",
-                        "--wait",
-                        "--timeout",
-                        "60");
-        int exit = fleet.launcher().await("drain", 90);
-        assertWithMessage(fleet.launcher().output("drain")).that(exit).isEqualTo(0);
+        command("drain");
         assertThat(fleet.platform().table().version()).isEqualTo(before + 1);
         assertThat(fleet.platform().calls().get("lost")).isEqualTo(1);
+        command("undrain");
+        assertThat(fleet.platform().table().version()).isEqualTo(before + 2);
+    }
+
+    /** Runs an operators' command on the first calendar upstream and waits until the change is in force. */
+    private static void command(String verb) {
+        String url = fleet.platform().url();
+        fleet.launcher()
+                .script(verb, "carawaylift", verb, "--platform", url, "calendar-r-a", "--wait", "--timeout", "60");
+        int exit = fleet.launcher().await(verb, 90);
+        assertWithMessage(fleet.launcher().output(verb)).that(exit).isEqualTo(0);
     }
 
     /** Ends the load and judges every call of it. */
@@ -173,8 +173,7 @@
         loadNumber++;
         LoadPart refresh = new LoadPart(
                 "refresh", "calendar", "GET", "/calendar", 200, Rank.STANDARD, 20, 4_000, PLAN.customers());
-        return new RunningLoad(
-                new Load(caller, "it" + loadNumber, List.of(refresh, once()), loadNumber, 100), seconds);
+        return new RunningLoad(new Load(caller, "it" + loadNumber, List.of(refresh, once()), loadNumber, 100), seconds);
     }
 
     private static LoadPart once() {
