--- a/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
+++ b/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
@@ -17,6 +17,11 @@
 /** The endpoints of one upstream that this process owns. Guarded by the lock of the shard that it belongs to. */
 final class EndpointPool implements SlotSource {
     /** A once-only request adds a new connection while idle ones of repeatable requests are still open. */
+    /**
+     * The endpoint is told an earlier deadline, so that it has stopped before the slot is free again here.
+     */
+    private static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final int CONNECTIONS_PER_SLOT = 2;
 
     /** Time in which an endpoint that writes an answer notices that the connection was closed. */
