--- a/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
+++ b/entry/src/main/java/io/carawaylift/entry/EndpointPool.java
@@ -17,11 +17,6 @@
 /** The endpoints of one upstream that this process owns. Guarded by the lock of the shard that it belongs to. */
 final class EndpointPool implements SlotSource {
     /** A once-only request adds a new connection while idle ones of repeatable requests are still open. */
-    /**
-     * The endpoint is told an earlier deadline, so that it has stopped before the slot is free again here.
-     */
-    private static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
     private static final int CONNECTIONS_PER_SLOT = 2;
 
     /** Time in which an endpoint that writes an answer notices that the connection was closed. */
@@ -34,7 +29,7 @@
     private static final long ARRIVAL_ALLOWANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     /** Taken off the deadline that endpoints are told, so that their work ends before its slot is used again. */
-    private static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final LeaseBook leases;
     private final OutboundCalls calls;
