Reset proxied connections on their event loop

FaultProxyTest.cutResetsOldConnections failed once in four runs with 'Socket is closed': the other side of the link closed the channel between the check and the change of the option.

--- a/testing/src/main/java/io/carawaylift/testing/proxy/Link.java
+++ b/testing/src/main/java/io/carawaylift/testing/proxy/Link.java
@@ -79,10 +79,13 @@
         channel.config().setAutoRead(true);
     }
 
+    /** Runs on the event loop because the other side of the link may close the channel at the same time. */
     private static void reset(Channel channel) {
-        if (channel.isOpen()) {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        }
-        channel.close();
+        channel.eventLoop().execute(() -> {
+            if (channel.isOpen()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
+            channel.close();
+        });
     }
 }
