Count only work of the same or higher rank when choosing an owner, and add a serving demonstration

Ruled out: counting refused requests for a second as well, which the simulation also does; not needed by a target here yet. Before: Steering counted all ranks. Conclusion: the flood steps of the demonstration are to be read with this change in.

--- a/entry/src/main/java/io/carawaylift/entry/QueueShard.java
+++ b/entry/src/main/java/io/carawaylift/entry/QueueShard.java
@@ -157,6 +157,19 @@
         }
     }
 
+    /** Returns how many requests of at least a rank wait or are in flight. */
+    int outstanding(Rank least) {
+        synchronized (lock) {
+            int sum = 0;
+            for (Rank rank : Rank.values()) {
+                if (rank.compareTo(least) <= 0) {
+                    sum += queue.waiting(rank) + queue.inFlight(rank);
+                }
+            }
+            return sum;
+        }
+    }
+
     /** Returns the state for operators and heartbeats; counters rise from the start of the process. */
     Load load() {
         synchronized (lock) {
--- a/entry/src/main/java/io/carawaylift/entry/Shards.java
+++ b/entry/src/main/java/io/carawaylift/entry/Shards.java
@@ -5,6 +5,7 @@
 import io.carawaylift.entry.Topology.EndpointSlots;
 import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.Member;
+import io.carawaylift.model.Rank;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.model.UpstreamRow;
 import java.util.List;
@@ -127,14 +128,17 @@
         return forward(new Route("", process), request, receiver);
     }
 
-    /** Returns how many requests this process has outstanding or waiting on a route. */
-    int outstanding(Route route) {
+    /**
+     * Returns how many requests of at least a rank this process has outstanding or waiting on a route. Work of lower rank does
+     * not count, because it does not delay the request; counting it sends urgent work to owners by the flood of other work.
+     */
+    int outstanding(Route route, Rank rank) {
         if (route.owner().equals(self)) {
             Local shard = local.get(route.upstream());
-            return shard == null ? 0 : total(shard.shard.load());
+            return shard == null ? 0 : shard.shard.outstanding(rank);
         }
         Remote shard = remote.get(route);
-        return shard == null ? 0 : total(shard.shard.load());
+        return shard == null ? 0 : shard.shard.outstanding(rank);
     }
 
     /** Returns the load of the upstreams that this process owns endpoints of, by name. */
--- a/entry/src/main/java/io/carawaylift/entry/Steering.java
+++ b/entry/src/main/java/io/carawaylift/entry/Steering.java
@@ -82,7 +82,7 @@
         current.ownersOf(row.name()).forEach((owner, slots) -> {
             Route route = new Route(row.name(), owner);
             if (slots > 0 && !excluded.contains(route) && isReachable(current, route)) {
-                found.add(new OwnerSelector.Candidate(owner, slots, shards.outstanding(route)));
+                found.add(new OwnerSelector.Candidate(owner, slots, shards.outstanding(route, request.rank())));
             }
         });
         return found;
--- a/testing/src/main/java/io/carawaylift/testing/Demo.java
+++ b/testing/src/main/java/io/carawaylift/testing/Demo.java
@@ -19,10 +19,13 @@
     @Option(name = "--out", description = "JSON file for the results")
     private String out = "";
 
+    @Option(name = "--serve-minutes", description = "Instead of the steps, serve a steady load for this long")
+    private int serveMinutes;
+
     /** Runs the demonstration; exits 1 if something happened that must not. */
     public static void main(String[] args) {
         Demo demo = Programs.parse(Demo.class, args);
-        boolean clean = Demonstrations.run(demo.site, demo.seconds, demo.seed, demo.out);
+        boolean clean = new Demonstrations(demo.seconds, demo.seed, demo.serveMinutes).run(demo.site, demo.out);
         System.exit(clean ? 0 : 1);
     }
 }
--- a/testing/src/main/java/io/carawaylift/testing/demo/Demonstration.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Demonstration.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Measures one site step by step. Every step offers a load and judges all of its calls. */
 public final class Demonstration implements AutoCloseable {
@@ -51,6 +52,13 @@
         void happen(Map<String, Object> facts);
     }
 
+    /** Serves a steady load for some minutes, for an operator who wants to try commands. */
+    public void serve(int minutes) {
+        fleet.start(READY_SECONDS);
+        printer.line("platform at " + fleet.platform().url() + ", serving for " + minutes + " min");
+        step("steady load", loads.mixed(STEADY), TimeUnit.MINUTES.toSeconds(minutes), Event.NONE);
+    }
+
     /** Runs all steps. A step that fails is reported, and the next one is still run. */
     public void run() {
         long start = System.nanoTime();
--- a/testing/src/main/java/io/carawaylift/testing/demo/Demonstrations.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Demonstrations.java
@@ -10,7 +10,22 @@
 
 /** Runs the demonstration of one site or of both, one after the other. */
 public final class Demonstrations {
-    private Demonstrations() {}
+    private final double seconds;
+    private final long seed;
+    private final int serveMinutes;
+
+    /**
+     * Creates demonstrations.
+     *
+     * @param seconds length of a step's load
+     * @param seed seed of the arrivals
+     * @param serveMinutes if positive, a steady load is served for as long instead of the steps
+     */
+    public Demonstrations(double seconds, long seed, int serveMinutes) {
+        this.seconds = seconds;
+        this.seed = seed;
+        this.serveMinutes = serveMinutes;
+    }
 
     /**
      * Runs the demonstration and prints its results.
@@ -20,10 +35,10 @@
      * @return whether nothing happened that must not
      */
     @SuppressWarnings("SystemOut")
-    public static boolean run(String site, double seconds, long seed, String out) {
+    public boolean run(String site, String out) {
         ReportPrinter printer = new ReportPrinter(System.out);
         for (SitePlan plan : plans(site)) {
-            demonstrate(plan, printer, seconds, seed);
+            demonstrate(plan, printer);
             if (!out.isEmpty()) {
                 printer.write(Path.of(out));
             }
@@ -32,12 +47,16 @@
         return printer.failedSteps() == 0;
     }
 
-    private static void demonstrate(SitePlan plan, ReportPrinter printer, double seconds, long seed) {
+    private void demonstrate(SitePlan plan, ReportPrinter printer) {
         Fleet fleet = new Fleet(plan, temporaryDirectory(plan.name()), UnaryOperator.identity());
         Thread end = new Thread(fleet::close, "end of processes");
         Runtime.getRuntime().addShutdownHook(end);
         try (Demonstration demonstration = new Demonstration(fleet, printer, seconds, seed)) {
-            demonstration.run();
+            if (serveMinutes > 0) {
+                demonstration.serve(serveMinutes);
+            } else {
+                demonstration.run();
+            }
         }
         Runtime.getRuntime().removeShutdownHook(end);
     }
