--- a/testing/src/main/java/io/carawaylift/testing/demo/Demonstration.java
+++ b/testing/src/main/java/io/carawaylift/testing/demo/Demonstration.java
@@ -56,7 +56,7 @@
     public void serve(int minutes) {
         fleet.start(READY_SECONDS);
         printer.line("platform at " + fleet.platform().url() + ", serving for " + minutes + " min");
-        step("steady load", loads.mixed(STEADY), TimeUnit.MINUTES.toSeconds(minutes), Event.NONE);
+        step("steady load", loads.mixed(STEADY), (double) TimeUnit.MINUTES.toSeconds(minutes), Event.NONE);
     }
 
     /** Runs all steps. A step that fails is reported, and the next one is still run. */
