--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -0,0 +1,114 @@
+package io.carawaylift.decisions.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Chooses the endpoint that is expected to answer first. An object's requests go to the same few endpoints, which remember
+ * it, until these are busy. Times are monotonic nanoseconds. Not thread-safe.
+ */
+public final class EndpointPicker {
+    /** Part of the cold rate that is used; the rate is a limit for all hosts together. */
+    private static final double COLD_RATE_PART = 0.8;
+
+    /** Wait that is accepted to keep a large answer in the zone, where its bytes cost nothing. */
+    private static final double LARGE_OTHER_ZONE_MILLIS = 60;
+
+    private final Fleet fleet;
+    private final String ownZone;
+
+    /** Creates a picker for a host in {@code ownZone}. */
+    public EndpointPicker(Fleet fleet, String ownZone) {
+        this.fleet = fleet;
+        this.ownZone = ownZone;
+    }
+
+    /**
+     * What a request needs.
+     *
+     * @param object key of the object that the request concerns, empty if none
+     * @param large whether the answer is large, so that its way matters
+     * @param excluded endpoints that have had the request
+     * @param coldRate requests a second that a cold endpoint of the service tolerates
+     * @param mayWarm whether this host may send to a cold endpoint
+     */
+    public record Need(
+            String service,
+            String object,
+            boolean large,
+            Set<String> excluded,
+            double coldRate,
+            Predicate<EndpointEntry> mayWarm) {}
+
+    /**
+     * A chosen endpoint.
+     *
+     * @param remembered whether the endpoint is believed to remember the object
+     * @param workMillis expected time of work
+     * @param waitMillis expected time in the endpoint's queue
+     */
+    public record Choice(EndpointStatus endpoint, boolean remembered, double workMillis, double waitMillis) {}
+
+    /** Returns the best endpoint in the region, or empty if none may be used now. */
+    public Optional<Choice> pick(Need need, String region, WorkTimes times, long nowNanos) {
+        List<EndpointStatus> candidates = new ArrayList<>();
+        for (EndpointStatus status : fleet.usable(need.service())) {
+            if (status.entry().region().equals(region) && mayUse(status, need, nowNanos)) {
+                candidates.add(status);
+            }
+        }
+        candidates.sort(Comparator.comparingLong((EndpointStatus status) ->
+                        -(Rendezvous.weight(need.object(), status.entry().id()) >>> 1))
+                .thenComparing(status -> status.entry().id()));
+        Choice best = null;
+        double least = Double.POSITIVE_INFINITY;
+        for (int rank = 0; rank < candidates.size(); rank++) {
+            EndpointStatus status = candidates.get(rank);
+            Choice choice = estimate(status, need, rank, times, nowNanos);
+            double cost = choice.workMillis() + choice.waitMillis() + wayMillis(status, need) + rank * 0.01;
+            if (cost < least) {
+                least = cost;
+                best = choice;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private boolean mayUse(EndpointStatus status, Need need, long nowNanos) {
+        String id = status.entry().id();
+        if (need.excluded().contains(id) || !fleet.health().mayTry(id, nowNanos)) {
+            return false;
+        }
+        return !status.isCold(nowNanos)
+                || (need.mayWarm().test(status.entry())
+                        && status.coldRequestAvailable(COLD_RATE_PART * need.coldRate(), nowNanos));
+    }
+
+    /** Takes the permission to send to the chosen endpoint; false if it is cold and had its share of requests. */
+    public boolean tryTake(Choice choice, Need need, long nowNanos) {
+        EndpointStatus status = choice.endpoint();
+        return !status.isCold(nowNanos) || status.tryColdRequest(COLD_RATE_PART * need.coldRate(), nowNanos);
+    }
+
+    private static Choice estimate(EndpointStatus status, Need need, int rank, WorkTimes times, long nowNanos) {
+        boolean remembered =
+                status.remembers(need.object()) || (rank == 0 && !need.object().isEmpty());
+        double work = times.expected(remembered) * status.slowness();
+        if (status.isCold(nowNanos)) {
+            work *= 2;
+        }
+        int slots = status.entry().slots();
+        double ahead = Math.max(0, status.load(nowNanos) + 1 - slots);
+        double wait = ahead / slots * times.expected(true) * status.slowness();
+        return new Choice(status, remembered, work, wait);
+    }
+
+    private double wayMillis(EndpointStatus status, Need need) {
+        boolean sameZone = status.entry().zone().equals(ownZone);
+        return !sameZone && need.large() ? LARGE_OTHER_ZONE_MILLIS : 0;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -0,0 +1,140 @@
+package io.carawaylift.decisions.fleet;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** What this host believes of one endpoint. Times are monotonic nanoseconds. Not thread-safe. */
+public final class EndpointStatus {
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** Age at which half of an observation of other hosts' load is forgotten: about the length of a request. */
+    private static final double LOAD_HALF_LIFE_NANOS = 400e6;
+
+    /** Weight of the newest answer in the moving mean of relative speed. */
+    private static final double SLOWNESS_WEIGHT = 0.2;
+
+    /** Objects remembered for an endpoint; endpoints remember a few dozen. */
+    private static final int REMEMBERED_OBJECTS = 24;
+
+    /** Requests that may be sent to a cold endpoint at once; the limit of the platform has more slack than this. */
+    private static final double COLD_BURST = 2;
+
+    private EndpointEntry entry;
+    private int inFlight;
+    private int connections;
+    private double othersLoad;
+    private long othersSeenNanos;
+    private long coldUntilNanos;
+    private double slowness = 1;
+    private TokenBucket coldBucket;
+    private final Map<String, Long> objects = new LinkedHashMap<>(REMEMBERED_OBJECTS, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > REMEMBERED_OBJECTS;
+        }
+    };
+
+    EndpointStatus(EndpointEntry entry, long nowNanos) {
+        this.entry = entry;
+        this.othersSeenNanos = nowNanos;
+        this.coldBucket = new TokenBucket(COLD_BURST, nowNanos);
+        setCold(entry.coldMillis(), nowNanos);
+    }
+
+    /** Returns the newest entry of the endpoint. */
+    public EndpointEntry entry() {
+        return entry;
+    }
+
+    /** Returns the requests of this host that are in flight there. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Takes a newer entry; one of another incarnation resets what was learned. */
+    void update(EndpointEntry newer, long nowNanos) {
+        boolean same = entry.sameIncarnation(newer);
+        entry = newer;
+        if (!same) {
+            othersLoad = 0;
+            slowness = 1;
+            objects.clear();
+            coldBucket = new TokenBucket(COLD_BURST, nowNanos);
+        }
+        setCold(newer.coldMillis(), nowNanos);
+    }
+
+    /** Records that the endpoint said how much longer it stays cold; 0 ends an earlier statement. */
+    public void setCold(long millis, long nowNanos) {
+        if (millis > 0) {
+            coldUntilNanos = nowNanos + (long) (millis * NANOS_PER_MILLI);
+        }
+    }
+
+    /** Returns whether the endpoint tolerates only few requests now. */
+    public boolean isCold(long nowNanos) {
+        return coldUntilNanos - nowNanos > 0;
+    }
+
+    /** Takes the permission for one request to the endpoint while it is cold. */
+    public boolean tryColdRequest(double requestsPerSecond, long nowNanos) {
+        return coldBucket.tryTake(requestsPerSecond, nowNanos);
+    }
+
+    boolean coldRequestAvailable(double requestsPerSecond, long nowNanos) {
+        return coldBucket.available(requestsPerSecond, nowNanos);
+    }
+
+    /** Records that a request is sent. */
+    public void sent(String object, long nowNanos) {
+        inFlight++;
+        if (!object.isEmpty()) {
+            objects.put(object, nowNanos);
+        }
+    }
+
+    /** Records that a request is over, with or without an answer. */
+    public void ended() {
+        inFlight--;
+    }
+
+    /** Records the load that the endpoint reported with an answer. */
+    public void loadReported(int running, int waiting, long nowNanos) {
+        othersLoad = Math.max(0, running + waiting - inFlight);
+        othersSeenNanos = nowNanos;
+    }
+
+    /** Records how long an answer took compared with what was expected. */
+    public void answered(double actualMillis, double expectedMillis) {
+        double relative = Math.min(10, actualMillis / Math.max(1, expectedMillis));
+        slowness += SLOWNESS_WEIGHT * (relative - slowness);
+    }
+
+    /** Returns the moving mean of actual over expected times; 1 is as expected. */
+    public double slowness() {
+        return Math.max(0.5, slowness);
+    }
+
+    /** Returns the estimated requests of all hosts at the endpoint. */
+    public double load(long nowNanos) {
+        double age = Math.max(0, nowNanos - othersSeenNanos);
+        return inFlight + othersLoad * Math.pow(0.5, age / LOAD_HALF_LIFE_NANOS);
+    }
+
+    /** Returns whether this host sent a request for the object not long ago. */
+    boolean remembers(String object) {
+        return objects.containsKey(object);
+    }
+
+    /** Records a connection opened (1) or closed (-1) by this host. */
+    public void connectionsChanged(int change) {
+        connections += change;
+    }
+
+    /** Returns the open connections of this host. */
+    public int connections() {
+        return connections;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/Fleet.java
@@ -0,0 +1,92 @@
+package io.carawaylift.decisions.fleet;
+
+import io.carawaylift.decisions.admission.EndpointHealth;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** All endpoints that the platform lists, and the zones that get nothing. Times are monotonic nanoseconds. Not thread-safe. */
+public final class Fleet {
+    private final Map<String, EndpointStatus> endpoints = new LinkedHashMap<>();
+    private final Map<String, Map<String, EndpointStatus>> byService = new HashMap<>();
+    private final EndpointHealth health = new EndpointHealth();
+    private Set<String> evacuatedZones = Set.of();
+
+    /** Creates a fleet without endpoints. */
+    public Fleet() {}
+
+    /** Adds an endpoint or takes its newer entry. */
+    public void put(EndpointEntry entry, long nowNanos) {
+        EndpointStatus status = endpoints.get(entry.id());
+        if (status == null) {
+            status = new EndpointStatus(entry, nowNanos);
+            endpoints.put(entry.id(), status);
+        } else {
+            if (!status.entry().service().equals(entry.service())) {
+                byService
+                        .getOrDefault(status.entry().service(), new HashMap<>())
+                        .remove(entry.id());
+            }
+            status.update(entry, nowNanos);
+        }
+        byService
+                .computeIfAbsent(entry.service(), service -> new LinkedHashMap<>())
+                .put(entry.id(), status);
+    }
+
+    /** Forgets an endpoint. */
+    public void remove(String id) {
+        EndpointStatus status = endpoints.remove(id);
+        if (status != null) {
+            byService.get(status.entry().service()).remove(id);
+            health.retain(endpoints.keySet());
+        }
+    }
+
+    /** Returns the status of an endpoint. */
+    public Optional<EndpointStatus> find(String id) {
+        return Optional.ofNullable(endpoints.get(id));
+    }
+
+    /** Returns all endpoints. */
+    public Collection<EndpointStatus> all() {
+        return endpoints.values();
+    }
+
+    /** Sets the zones whose endpoints get no requests. */
+    public void setEvacuatedZones(Set<String> zones) {
+        evacuatedZones = Set.copyOf(zones);
+    }
+
+    /** Returns the zones whose endpoints get no requests. */
+    public Set<String> evacuatedZones() {
+        return evacuatedZones;
+    }
+
+    /** Returns the judge of endpoints. */
+    public EndpointHealth health() {
+        return health;
+    }
+
+    /** Returns whether new requests may be sent to the endpoint as far as the platform's lists say. */
+    public boolean isListedForUse(EndpointStatus status) {
+        EndpointEntry entry = status.entry();
+        return endpoints.get(entry.id()) == status && !entry.draining() && !evacuatedZones.contains(entry.zone());
+    }
+
+    /** Returns the endpoints of a service that may get new requests. */
+    public List<EndpointStatus> usable(String service) {
+        List<EndpointStatus> usable = new ArrayList<>();
+        for (EndpointStatus status : byService.getOrDefault(service, Map.of()).values()) {
+            if (isListedForUse(status)) {
+                usable.add(status);
+            }
+        }
+        return usable;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
@@ -0,0 +1,116 @@
+package io.carawaylift.decisions.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * Shares of one region's requests for a service that run in each region. Requests stay in their region as long as it has
+ * room; the rest goes where room is left. Shares move at a bounded rate. Times are monotonic nanoseconds. Not thread-safe.
+ */
+public final class RegionShares {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final String ownRegion;
+    private final double fullUtilization;
+    private final double maxChangePerSecond;
+    private final Map<String, Double> shares = new TreeMap<>();
+    private final Map<String, Double> credits = new HashMap<>();
+    private long updatedNanos;
+
+    /**
+     * Creates shares that keep everything in {@code ownRegion} until the first update.
+     *
+     * @param fullUtilization part of a region's slots up to which requests stay at home
+     * @param maxChangePerSecond share that may change its region in a second
+     */
+    public RegionShares(String ownRegion, double fullUtilization, double maxChangePerSecond) {
+        this.ownRegion = ownRegion;
+        this.fullUtilization = fullUtilization;
+        this.maxChangePerSecond = maxChangePerSecond;
+    }
+
+    /**
+     * Moves the shares towards the wanted ones.
+     *
+     * @param slots usable slots by region
+     * @param demand slots that the requests of each region's callers keep busy
+     */
+    public void update(Map<String, Double> slots, Map<String, Double> demand, long nowNanos) {
+        Map<String, Double> wanted = wanted(slots, demand);
+        if (shares.isEmpty()) {
+            shares.putAll(wanted);
+        } else {
+            double seconds = Math.max(0, nowNanos - updatedNanos) / NANOS_PER_SECOND;
+            approach(wanted, maxChangePerSecond * seconds);
+        }
+        updatedNanos = nowNanos;
+    }
+
+    /** Returns the region of the next request among the usable ones, or an empty text if none has a share. */
+    public String next(Predicate<String> usable) {
+        double total = 0;
+        String chosen = "";
+        double most = Double.NEGATIVE_INFINITY;
+        for (Map.Entry<String, Double> share : shares.entrySet()) {
+            if (share.getValue() <= 0 || !usable.test(share.getKey())) {
+                continue;
+            }
+            total += share.getValue();
+            double credit = credits.merge(share.getKey(), share.getValue(), Double::sum);
+            if (credit > most) {
+                most = credit;
+                chosen = share.getKey();
+            }
+        }
+        if (!chosen.isEmpty()) {
+            credits.merge(chosen, -total, Double::sum);
+        }
+        return chosen;
+    }
+
+    /** Returns the present share of a region. */
+    public double share(String region) {
+        return shares.getOrDefault(region, 0.0);
+    }
+
+    private Map<String, Double> wanted(Map<String, Double> slots, Map<String, Double> demand) {
+        double totalSlots = sum(slots);
+        double totalDemand = sum(demand);
+        double utilization = Math.max(fullUtilization, totalDemand / Math.max(1, totalSlots));
+        double own = demand.getOrDefault(ownRegion, 0.0);
+        double ownRoom = utilization * slots.getOrDefault(ownRegion, 0.0);
+        double stays = own <= ownRoom ? 1 : ownRoom / own;
+        Map<String, Double> wanted = new TreeMap<>();
+        wanted.put(ownRegion, stays);
+        Map<String, Double> room = new TreeMap<>();
+        for (Map.Entry<String, Double> region : slots.entrySet()) {
+            double left = utilization * region.getValue() - demand.getOrDefault(region.getKey(), 0.0);
+            if (!region.getKey().equals(ownRegion) && left > 0) {
+                room.put(region.getKey(), left);
+            }
+        }
+        double totalRoom = sum(room);
+        if (totalRoom <= 0) {
+            wanted.put(ownRegion, 1.0);
+            return wanted;
+        }
+        room.forEach((region, left) -> wanted.put(region, (1 - stays) * left / totalRoom));
+        return wanted;
+    }
+
+    private void approach(Map<String, Double> wanted, double mostMoved) {
+        Map<String, Double> gaps = new HashMap<>();
+        wanted.forEach((region, share) -> gaps.put(region, share - share(region)));
+        shares.forEach((region, share) -> gaps.putIfAbsent(region, -share));
+        double moved =
+                gaps.values().stream().mapToDouble(gap -> Math.max(0, gap)).sum();
+        double part = moved <= mostMoved ? 1 : mostMoved / moved;
+        gaps.forEach((region, gap) -> shares.merge(region, part * gap, Double::sum));
+    }
+
+    private static double sum(Map<String, Double> values) {
+        return values.values().stream().mapToDouble(Double::doubleValue).sum();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/TokenBucket.java
@@ -0,0 +1,35 @@
+package io.carawaylift.decisions.fleet;
+
+/** Permits events at a steady rate with a bounded burst. Times are monotonic nanoseconds. Not thread-safe. */
+final class TokenBucket {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final double burst;
+    private double tokens;
+    private long filledNanos;
+
+    TokenBucket(double burst, long nowNanos) {
+        this.burst = burst;
+        this.tokens = burst;
+        this.filledNanos = nowNanos;
+    }
+
+    boolean available(double ratePerSecond, long nowNanos) {
+        fill(ratePerSecond, nowNanos);
+        return tokens >= 1;
+    }
+
+    boolean tryTake(double ratePerSecond, long nowNanos) {
+        if (!available(ratePerSecond, nowNanos)) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    private void fill(double ratePerSecond, long nowNanos) {
+        double seconds = Math.max(0, nowNanos - filledNanos) / NANOS_PER_SECOND;
+        tokens = Math.min(burst, tokens + seconds * ratePerSecond);
+        filledNanos = nowNanos;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/route/Route.java
@@ -0,0 +1,46 @@
+package io.carawaylift.decisions.route;
+
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Where requests of one host and path prefix go.
+ *
+ * @param pathPrefix begins and ends with a slash
+ * @param timeoutMillis longest time a caller is kept waiting
+ * @param targetLatencyMillis time within which an answer is in time
+ * @param priority rank, 0 is the highest
+ * @param services at least one service
+ * @param maxAttempts endpoints that one request may run on
+ * @param sessionAffinity whether an endpoint that handled the object recently works faster
+ * @param homeRegions regions that may run the requests; empty means all
+ */
+public record Route(
+        String name,
+        String host,
+        String pathPrefix,
+        RequestKind kind,
+        long timeoutMillis,
+        long targetLatencyMillis,
+        int priority,
+        List<WeightedService> services,
+        int maxAttempts,
+        boolean sessionAffinity,
+        Set<String> homeRegions) {
+    public Route {
+        if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
+            throw new IllegalArgumentException(
+                    "route " + name + ": path prefix must begin and end with /: " + pathPrefix);
+        }
+        if (services.isEmpty()) {
+            throw new IllegalArgumentException("route " + name + " has no service");
+        }
+        services = List.copyOf(services);
+        homeRegions = Set.copyOf(homeRegions);
+    }
+
+    /** Returns whether endpoints of the region may run requests of this route. */
+    public boolean mayRunIn(String region) {
+        return homeRegions.isEmpty() || homeRegions.contains(region);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/route/RouteTable.java
@@ -0,0 +1,79 @@
+package io.carawaylift.decisions.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the configuration. Immutable. */
+public final class RouteTable {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost;
+    private final Map<String, ServiceProfile> services;
+    private final CallerLimits limits;
+
+    /** Creates a table; the order of {@code routes} has no meaning. */
+    public RouteTable(long version, List<Route> routes, List<ServiceProfile> services, CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        Map<String, List<Route>> byHost = new HashMap<>();
+        for (Route route : routes) {
+            byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
+                    .add(route);
+        }
+        byHost.values()
+                .forEach(list -> list.sort(Comparator.comparingInt(
+                                (Route route) -> route.pathPrefix().length())
+                        .reversed()));
+        this.routesByHost = Map.copyOf(byHost);
+        Map<String, ServiceProfile> byName = new HashMap<>();
+        services.forEach(service -> byName.put(service.name(), service));
+        this.services = Map.copyOf(byName);
+    }
+
+    /** Returns the version; a higher one is newer. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the limits for callers. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the number of routes. */
+    public int size() {
+        return routesByHost.values().stream().mapToInt(List::size).sum();
+    }
+
+    /** Returns the service with the name, if the configuration has it. */
+    public Optional<ServiceProfile> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Returns the route with the longest prefix of the path among those of the host.
+     *
+     * @param host value of the Host header; a port is ignored
+     * @param target request target in origin form; the query is ignored
+     */
+    public Optional<Route> match(String host, String target) {
+        String name = withoutPort(host).toLowerCase(Locale.ROOT);
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        for (Route route : routesByHost.getOrDefault(name, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String withoutPort(String host) {
+        int colon = host.lastIndexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+}
--- /dev/null
+++ b/host/src/main/java/io/carawaylift/host/CallerConnection.java
@@ -0,0 +1,276 @@
+package io.carawaylift.host;
+
+import io.carawaylift.model.ResultCode;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One connection of a caller: reads a request whole, hands it over, writes the answer, then reads the next one. Used on the
+ * event loop only.
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // failures close the channel, which is observed
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+    /** Messages of later requests that wait while a request is answered; callers send one request at a time. */
+    private static final int MAX_WAITING_MESSAGES = 64;
+
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int HEADERS_TOO_LARGE = 431;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private final CallerServer server;
+    private final Handler handler;
+    private final Deque<HttpObject> waiting = new ArrayDeque<>();
+    private Channel channel;
+    private HttpRequest head;
+    private CompositeByteBuf body;
+    private long headNanos;
+    private long lastActiveNanos;
+    private boolean partialHead;
+    private Exchange exchange;
+    private boolean answering;
+    private boolean closeAfterAnswer;
+
+    /** Handles requests that were read whole. */
+    interface Handler {
+        /** Starts the work on a request; {@code body} belongs to the receiver. */
+        Exchange handle(CallerConnection caller, HttpRequest head, ByteBuf body, long arrivedNanos);
+
+        /** A request was refused before it was read whole. */
+        void refused(HttpRequest head, ResultCode code, int status);
+    }
+
+    CallerConnection(CallerServer server, Handler handler) {
+        this.server = server;
+        this.handler = handler;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        lastActiveNanos = System.nanoTime();
+        channel.pipeline().addFirst(new ByteWatch());
+        server.opened(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        HttpObject object = (HttpObject) message;
+        if (answering) {
+            wait(object);
+            return;
+        }
+        try {
+            read(object);
+        } finally {
+            ReferenceCountUtil.release(object);
+        }
+    }
+
+    private void wait(HttpObject object) {
+        if (waiting.size() >= MAX_WAITING_MESSAGES) {
+            ReferenceCountUtil.release(object);
+            channel.close();
+            return;
+        }
+        waiting.addLast(object);
+    }
+
+    private void read(HttpObject object) {
+        if (object.decoderResult().isFailure()) {
+            boolean tooLong = object.decoderResult().cause() instanceof TooLongFrameException;
+            refuse(ResultCode.BAD_REQUEST, tooLong ? HEADERS_TOO_LARGE : ResultCode.BAD_REQUEST.httpStatus());
+            return;
+        }
+        if (object instanceof HttpRequest request) {
+            begin(request);
+        }
+        if (object instanceof HttpContent content && head != null) {
+            add(content);
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        partialHead = false;
+        head = request;
+        headNanos = System.nanoTime();
+        body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+        closeAfterAnswer = !HttpUtil.isKeepAlive(request);
+        if (HttpUtil.is100ContinueExpected(request)) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void add(HttpContent content) {
+        if (body.readableBytes() + (long) content.content().readableBytes()
+                > server.limits().maxBodyBytes()) {
+            refuse(ResultCode.BODY_TOO_LARGE, ResultCode.BODY_TOO_LARGE.httpStatus());
+            return;
+        }
+        body.addComponent(true, content.content().retain());
+        if (content instanceof LastHttpContent) {
+            HttpRequest request = head;
+            ByteBuf whole = body;
+            head = null;
+            body = null;
+            answering = true;
+            Exchange started = handler.handle(this, request, whole, headNanos);
+            if (answering) {
+                exchange = started;
+            }
+        }
+    }
+
+    /** Answers a request that is not read to its end, and closes the connection. */
+    private void refuse(ResultCode code, int status) {
+        handler.refused(head, code, status);
+        releaseBody();
+        head = null;
+        answering = true;
+        closeAfterAnswer = true;
+        HttpHeaders headers = Answers.headers();
+        answer(status, headers, Unpooled.copiedBuffer(Answers.body(code, ""), StandardCharsets.UTF_8), false);
+    }
+
+    /** Returns whether the caller is still there. */
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
+    /**
+     * Writes the answer of the request that was handed over.
+     *
+     * @param headers without a length
+     * @param answeredHead whether the request's method was HEAD, so that the body stays away and the length as it is
+     */
+    void answer(int status, HttpHeaders headers, ByteBuf content, boolean answeredHead) {
+        exchange = null;
+        boolean close = closeAfterAnswer || server.isStopping();
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content, headers, Answers.headers());
+        if (!answeredHead && status != NO_CONTENT && status != NOT_MODIFIED) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+        }
+        if (close) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        channel.writeAndFlush(response).addListener(done -> {
+            lastActiveNanos = System.nanoTime();
+            if (close || !done.isSuccess()) {
+                channel.close();
+            }
+        });
+        answering = false;
+        if (!close) {
+            readWaiting();
+        }
+    }
+
+    /** Ends the connection without an answer. */
+    void abort() {
+        exchange = null;
+        channel.close();
+    }
+
+    private void readWaiting() {
+        while (!answering && !waiting.isEmpty()) {
+            HttpObject next = waiting.pollFirst();
+            try {
+                read(next);
+            } finally {
+                ReferenceCountUtil.release(next);
+            }
+        }
+    }
+
+    boolean isBusy() {
+        return answering || head != null;
+    }
+
+    void closeIfIdle() {
+        if (!isBusy()) {
+            channel.close();
+        }
+    }
+
+    /** Closes the connection if it was idle for too long or a request does not arrive in time. */
+    void sweep(long nowNanos) {
+        long sinceActive = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastActiveNanos);
+        if (answering) {
+            return;
+        }
+        if (head != null || partialHead) {
+            long limit = head != null
+                    ? server.limits().idleTimeoutMillis()
+                    : server.limits().headerTimeoutMillis();
+            if (sinceActive > limit) {
+                refuse(ResultCode.BAD_REQUEST, REQUEST_TIMEOUT);
+            }
+        } else if (sinceActive > server.limits().idleTimeoutMillis()) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        server.closed(this);
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        releaseBody();
+        Exchange open = exchange;
+        exchange = null;
+        answering = false;
+        if (open != null) {
+            open.callerLeft();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void releaseBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    /** Notes when bytes arrive, before they are decoded. */
+    private final class ByteWatch extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (!isBusy() && !partialHead) {
+                partialHead = true;
+                lastActiveNanos = System.nanoTime();
+            } else if (head != null) {
+                lastActiveNanos = System.nanoTime();
+            }
+            context.fireChannelRead(message);
+        }
+    }
+}
--- /dev/null
+++ b/host/src/main/java/io/carawaylift/host/EndpointPool.java
@@ -0,0 +1,106 @@
+package io.carawaylift.host;
+
+import io.carawaylift.decisions.fleet.EndpointStatus;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Idle connections to endpoints. Used on the event loop only. */
+final class EndpointPool {
+    /** Longer than a round trip between regions; an endpoint that takes longer to accept is not worth waiting for. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+    private final EventLoop loop;
+    private final HostMetrics metrics;
+    private final Map<EndpointStatus, Deque<OutboundConnection>> idle = new HashMap<>();
+
+    EndpointPool(EventLoop loop, HostMetrics metrics) {
+        this.loop = loop;
+        this.metrics = metrics;
+    }
+
+    /** Passes on an idle or a new connection, or null and the reason why there is none. */
+    void acquire(EndpointStatus endpoint, boolean onlyNew, BiConsumer<OutboundConnection, String> result) {
+        if (!onlyNew) {
+            OutboundConnection connection = takeIdle(endpoint);
+            if (connection != null) {
+                result.accept(connection, null);
+                return;
+            }
+        }
+        metrics.count(
+                "carawaylift.endpoint.connections", "service", endpoint.entry().service());
+        InetSocketAddress address =
+                new InetSocketAddress(endpoint.entry().host(), endpoint.entry().port());
+        OutboundConnection.open(loop, address, CONNECT_TIMEOUT_MILLIS, (connection, reason) -> {
+            if (connection != null) {
+                endpoint.connectionsChanged(1);
+                connection.onClose(() -> {
+                    endpoint.connectionsChanged(-1);
+                    forget(endpoint, connection);
+                });
+            }
+            result.accept(connection, reason);
+        });
+    }
+
+    /** Takes back a connection after an answer; it is kept only if it can be used again. */
+    void release(EndpointStatus endpoint, OutboundConnection connection) {
+        // Later, so that bytes after the answer that arrived with it are seen before the next request is sent.
+        loop.execute(() -> {
+            if (connection.isReusable(System.nanoTime())) {
+                idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>()).addLast(connection);
+            } else {
+                connection.close();
+            }
+        });
+    }
+
+    /** Closes connections that have been idle for too long. */
+    void sweep() {
+        long now = System.nanoTime();
+        for (Deque<OutboundConnection> connections : idle.values()) {
+            for (Iterator<OutboundConnection> each = connections.iterator(); each.hasNext(); ) {
+                OutboundConnection connection = each.next();
+                if (!connection.isReusable(now)) {
+                    each.remove();
+                    connection.close();
+                }
+            }
+        }
+        idle.values().removeIf(Deque::isEmpty);
+    }
+
+    /** Closes the idle connections to an endpoint. */
+    void drop(EndpointStatus endpoint) {
+        Deque<OutboundConnection> connections = idle.remove(endpoint);
+        if (connections != null) {
+            connections.forEach(OutboundConnection::close);
+        }
+    }
+
+    private OutboundConnection takeIdle(EndpointStatus endpoint) {
+        Deque<OutboundConnection> connections = idle.get(endpoint);
+        while (connections != null && !connections.isEmpty()) {
+            // The one used last is the least likely to be closed by the endpoint just now.
+            OutboundConnection connection = connections.pollLast();
+            if (connection.isReusable(System.nanoTime())) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    private void forget(EndpointStatus endpoint, OutboundConnection connection) {
+        Deque<OutboundConnection> connections = idle.get(endpoint);
+        if (connections != null) {
+            connections.remove(connection);
+        }
+    }
+}
--- /dev/null
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -0,0 +1,235 @@
+package io.carawaylift.host;
+
+import io.carawaylift.decisions.fleet.EndpointEntry;
+import io.carawaylift.decisions.fleet.EndpointPicker;
+import io.carawaylift.decisions.fleet.EndpointStatus;
+import io.carawaylift.decisions.fleet.Fleet;
+import io.carawaylift.decisions.fleet.RegionShares;
+import io.carawaylift.decisions.fleet.Rendezvous;
+import io.carawaylift.decisions.fleet.SharedRetryBudget;
+import io.carawaylift.decisions.fleet.WorkTimes;
+import io.carawaylift.decisions.route.Route;
+import io.carawaylift.decisions.route.RouteTable;
+import io.carawaylift.decisions.route.ServiceProfile;
+import io.carawaylift.decisions.route.ServiceRotation;
+import io.carawaylift.model.ResultCode;
+import io.carawaylift.peer.Message;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+/** Starts the work on callers' requests and holds what the requests share. Used on the event loop only. */
+final class Forwarder implements CallerConnection.Handler {
+    /** Part of a region's slots that stays free before requests go to another region. */
+    private static final double FULL_UTILIZATION = 0.75;
+
+    /** Windows of two seconds are compared, so a steady change shows twice in them; the rest is room for chance. */
+    private static final double SHIFT_PART_PER_SECOND = 0.25;
+
+    /** Expected work before the first answer, as a part of the route's target. */
+    private static final double INITIAL_WORK_PART = 0.5;
+
+    private final HostOptions options;
+    private final EventLoop loop;
+    private final EventLog log;
+    private final HostMetrics metrics;
+    private final Beliefs beliefs;
+    private final Fleet fleet;
+    private final EndpointPool pool;
+    private final EndpointPicker picker;
+    private final Supplier<Collection<Message.HostReport>> others;
+    private final Map<String, ServiceTraffic> traffic = new HashMap<>();
+    private final Map<String, ServiceRotation> rotations = new HashMap<>();
+    private final Map<String, Double> regionDelays = new HashMap<>();
+    private final Set<String> regions;
+    private int open;
+
+    Forwarder(
+            HostOptions options,
+            EventLoop loop,
+            EventLog log,
+            HostMetrics metrics,
+            Beliefs beliefs,
+            Fleet fleet,
+            EndpointPool pool,
+            Supplier<Collection<Message.HostReport>> others) {
+        this.options = options;
+        this.loop = loop;
+        this.log = log;
+        this.metrics = metrics;
+        this.beliefs = beliefs;
+        this.fleet = fleet;
+        this.pool = pool;
+        this.others = others;
+        this.picker = new EndpointPicker(fleet, options.host().failureDomain());
+        this.regions = new LinkedHashSet<>(options.regionsByZone().values());
+    }
+
+    @Override
+    public Exchange handle(CallerConnection caller, HttpRequest head, ByteBuf body, long arrivedNanos) {
+        Exchange exchange = new Exchange(this, caller, head, body, arrivedNanos);
+        open++;
+        exchange.start();
+        return exchange;
+    }
+
+    @Override
+    public void refused(HttpRequest head, ResultCode code, int status) {
+        metrics.count("carawaylift.requests", "code", code.name(), "route", "");
+        log.event(
+                "request.refused_unread",
+                line -> line.put("target", head == null ? "" : head.uri())
+                        .put("code", code.number())
+                        .put("status", status));
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    EventLog log() {
+        return log;
+    }
+
+    HostMetrics metrics() {
+        return metrics;
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    EndpointPool pool() {
+        return pool;
+    }
+
+    EndpointPicker picker() {
+        return picker;
+    }
+
+    Set<String> regions() {
+        return regions;
+    }
+
+    String ownRegion() {
+        return options.host().region();
+    }
+
+    /** Returns the configuration if enough is known to forward requests. */
+    Optional<RouteTable> usableTable() {
+        return beliefs.complete() ? beliefs.table() : Optional.empty();
+    }
+
+    int openRequests() {
+        return open;
+    }
+
+    void ended() {
+        open--;
+    }
+
+    String chooseService(Route route) {
+        return rotations
+                .computeIfAbsent(route.name(), name -> new ServiceRotation())
+                .next(route);
+    }
+
+    ServiceTraffic traffic(String service, Route route) {
+        return traffic.computeIfAbsent(service, name -> newTraffic(route.targetLatencyMillis() * INITIAL_WORK_PART));
+    }
+
+    private ServiceTraffic newTraffic(double workMillis) {
+        HostOptions.SharedLimits limits = options.limits();
+        RegionShares shares =
+                new RegionShares(ownRegion(), FULL_UTILIZATION, limits.maxRegionShift() * SHIFT_PART_PER_SECOND);
+        SharedRetryBudget retries = new SharedRetryBudget(
+                limits.retryRatio(),
+                limits.retryAllowance(),
+                limits.retryWindow().toNanos());
+        return new ServiceTraffic(new WorkTimes(workMillis), shares, retries, System.nanoTime());
+    }
+
+    /** Returns the number of hosts that share limits with this one, itself included. */
+    int hosts() {
+        return others.get().size() + 1;
+    }
+
+    /** Returns the cold rate of a service. */
+    double coldRate(String service) {
+        return beliefs.table()
+                .flatMap(table -> table.service(service))
+                .map(ServiceProfile::coldRequestsPerSecond)
+                .orElse(1.0);
+    }
+
+    /** Returns whether this host is the one that sends to a cold endpoint: the first of the living by hash. */
+    boolean mayWarm(EndpointEntry endpoint) {
+        long own = Rendezvous.weight(endpoint.id(), options.host().id());
+        for (Message.HostReport other : others.get()) {
+            if (other.takesRequests() && Rendezvous.weight(endpoint.id(), other.host()) > own) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Records the time to connect to an endpoint, which is a round trip. */
+    void connected(String region, double millis) {
+        double known = regionDelays.getOrDefault(region, millis);
+        // The fastest connection shows the network; slower ones show the other side's load.
+        regionDelays.put(region, Math.min(millis, known));
+    }
+
+    /** Returns the milliseconds of a round trip to a region, 0 if unknown. */
+    double roundTripMillis(String region) {
+        return regionDelays.getOrDefault(region, 0.0);
+    }
+
+    /** Returns slots kept busy by service, for the report to other hosts. */
+    Map<String, Double> busySlots() {
+        Map<String, Double> busy = new HashMap<>();
+        traffic.forEach((service, each) -> busy.put(service, each.busySlots()));
+        return busy;
+    }
+
+    /** Updates rates and the shares of regions. */
+    void plan() {
+        long now = System.nanoTime();
+        traffic.forEach((service, each) -> {
+            each.updateRate(now);
+            Map<String, Double> slots = new TreeMap<>();
+            for (EndpointStatus endpoint : fleet.usable(service)) {
+                if (!endpoint.isCold(now)) {
+                    slots.merge(
+                            endpoint.entry().region(), (double) endpoint.entry().slots(), Double::sum);
+                }
+            }
+            Map<String, Double> demand = new TreeMap<>();
+            demand.merge(ownRegion(), each.busySlots(), Double::sum);
+            for (Message.HostReport other : others.get()) {
+                demand.merge(other.region(), other.busySlots().getOrDefault(service, 0.0), Double::sum);
+            }
+            each.shares().update(slots, demand, now);
+            each.offerRoom();
+        });
+    }
+
+    /** Closes connections to an endpoint that gets no new requests. */
+    void unusable(EndpointStatus endpoint) {
+        pool.drop(endpoint);
+    }
+
+    /** Lets the waiting requests try again. */
+    void offerRoom() {
+        List.copyOf(traffic.values()).forEach(ServiceTraffic::offerRoom);
+    }
+}
--- /dev/null
+++ b/host/src/main/java/io/carawaylift/host/HostOptions.java
@@ -0,0 +1,78 @@
+package io.carawaylift.host;
+
+import io.carawaylift.runtime.HostSettings;
+import io.carawaylift.runtime.Settings;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * Settings of the program, read from the file that the platform fills in from {@code deploy/host.toml}.
+ *
+ * @param callers address for callers' requests
+ * @param readiness address at which the platform asks whether the host takes requests
+ * @param lookups address at which callers ask which hosts to use
+ * @param peerPort port for the other hosts
+ * @param metricsPort port of the metrics page
+ * @param store address of the platform's store
+ * @param regionsByZone region of each zone
+ * @param limits limits that the operators' rules set for all hosts together
+ */
+record HostOptions(
+        HostSettings host,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        InetSocketAddress lookups,
+        int peerPort,
+        int metricsPort,
+        InetSocketAddress store,
+        Map<String, String> regionsByZone,
+        SharedLimits limits) {
+
+    /**
+     * Limits of the platform's operators.
+     *
+     * @param gracePeriod time between SIGTERM and SIGKILL
+     * @param retryRatio repeated sends per request of a service
+     * @param retryAllowance repeated sends beyond the ratio in a window, for all hosts together
+     * @param retryWindow length of the window
+     * @param maxRegionShift share of a region's requests that may change the region in which they run within two seconds
+     */
+    record SharedLimits(
+            Duration gracePeriod,
+            double retryRatio,
+            double retryAllowance,
+            Duration retryWindow,
+            double maxRegionShift) {}
+
+    static HostOptions of(Settings settings) {
+        return new HostOptions(
+                HostSettings.of(settings),
+                socketAddress(settings.address("listen.callers")),
+                socketAddress(settings.address("listen.readiness")),
+                socketAddress(settings.address("listen.lookups")),
+                settings.port("listen.peer_port"),
+                settings.port("listen.metrics_port"),
+                socketAddress(settings.address("platform.store")),
+                settings.texts("zones"),
+                new SharedLimits(
+                        settings.millis(
+                                "limits.grace_period_ms",
+                                Duration.ofSeconds(6),
+                                Duration.ofMillis(100),
+                                Duration.ofMinutes(10)),
+                        settings.decimal("limits.retry_ratio", 0.2, 0, 1),
+                        settings.decimal("limits.retry_allowance", 10, 0, 1e6),
+                        settings.millis(
+                                "limits.retry_window_ms",
+                                Duration.ofSeconds(10),
+                                Duration.ofMillis(100),
+                                Duration.ofMinutes(10)),
+                        settings.decimal("limits.max_region_shift", 0.15, 0, 1)));
+    }
+
+    private static InetSocketAddress socketAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+}
--- /dev/null
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -0,0 +1,159 @@
+package io.carawaylift.host;
+
+import io.carawaylift.decisions.fleet.Fleet;
+import io.carawaylift.decisions.route.CallerLimits;
+import io.carawaylift.decisions.route.RouteTable;
+import io.carawaylift.peer.Message;
+import io.carawaylift.platform.store.ObjectStore;
+import io.carawaylift.runtime.Service;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** The program of an entry host: wires its parts on one event loop. */
+final class HostService implements Service {
+    private static final Duration STORE_CALL_TIMEOUT = Duration.ofMillis(1500);
+    private static final long PLAN_MILLIS = 250;
+    private static final long SWEEP_MILLIS = 500;
+
+    /** Time after a stop for which requests are still accepted: the lifetime of a look-up's answer and some delay. */
+    private static final Duration ACCEPT_AFTER_STOP = Duration.ofMillis(2600);
+
+    /** Part of the grace period after which the program ends even if requests are open. */
+    private static final double USED_GRACE_PART = 0.93;
+
+    private static final long STOP_POLL_MILLIS = 50;
+    private static final long START_TIMEOUT_SECONDS = 30;
+
+    private final HostOptions options;
+    private final EventLog log;
+    private final HostMetrics metrics = new HostMetrics();
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("host", true), NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Fleet fleet = new Fleet();
+    private final ObjectStore store;
+    private final Beliefs beliefs;
+    private final Members members;
+    private final EndpointPool pool;
+    private final Forwarder forwarder;
+    private final CallerServer callers;
+    private final Lookups lookups;
+    private final long startedMillis = System.currentTimeMillis();
+    private boolean stopping;
+
+    HostService(HostOptions options, EventLog log) {
+        this.options = options;
+        this.log = log;
+        this.store = new ObjectStore(new StoreConnections(loop, options.store(), metrics), STORE_CALL_TIMEOUT);
+        this.beliefs = new Beliefs(fleet, store, loop, log, options.regionsByZone());
+        this.members = new Members(options, store, loop, log, this::report);
+        this.pool = new EndpointPool(loop, metrics);
+        this.forwarder = new Forwarder(options, loop, log, metrics, beliefs, fleet, pool, members::alive);
+        this.callers = new CallerServer(loop, this::callerLimits, forwarder);
+        this.lookups = new Lookups(options, this::takesRequests, members::alive);
+        beliefs.onUnusable(forwarder::unusable);
+        beliefs.onChange(forwarder::offerRoom);
+        metrics.gauge("carawaylift.requests.open", forwarder::openRequests);
+        metrics.gauge(
+                "carawaylift.configuration.version",
+                () -> beliefs.table().map(RouteTable::version).orElse(0L));
+        metrics.gauge("carawaylift.log.dropped", log::droppedLines);
+    }
+
+    @Override
+    public void start() {
+        callers.start(options.callers());
+        new PageServer(loop, lookups::readiness).start(options.readiness());
+        new PageServer(loop, lookups::lookup).start(options.lookups());
+        new PageServer(loop, this::metricsPage)
+                .start(new InetSocketAddress(options.host().address(), options.metricsPort()));
+        await(() -> {
+            beliefs.start();
+            members.start();
+            loop.scheduleWithFixedDelay(forwarder::plan, PLAN_MILLIS, PLAN_MILLIS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        });
+        log.event(
+                "started",
+                line -> line.put("zone", options.host().failureDomain()).put("callers", Lookups.address(options)));
+    }
+
+    private void sweep() {
+        callers.sweep();
+        pool.sweep();
+    }
+
+    @Override
+    public void stop() {
+        long began = System.nanoTime();
+        log.event("stopping", line -> line.put("openRequests", forwarder.openRequests()));
+        await(() -> {
+            stopping = true;
+            callers.prepareStop();
+            members.report();
+        });
+        long most = (long) (options.limits().gracePeriod().toNanos() * USED_GRACE_PART);
+        boolean accepting = true;
+        while (System.nanoTime() - began < most) {
+            if (accepting && System.nanoTime() - began > ACCEPT_AFTER_STOP.toNanos()) {
+                accepting = false;
+                await(callers::closeIdle);
+            }
+            if (!accepting && !callers.isBusy()) {
+                break;
+            }
+            pause();
+        }
+        log.event("stopped", line -> line.put("openRequests", forwarder.openRequests()));
+        members.stop();
+        log.close();
+    }
+
+    private Message.HostReport report() {
+        return new Message.HostReport(
+                options.host().id(),
+                options.host().region(),
+                options.host().failureDomain(),
+                startedMillis,
+                Lookups.address(options),
+                takesRequests(),
+                forwarder.busySlots());
+    }
+
+    private boolean takesRequests() {
+        return !stopping && beliefs.complete();
+    }
+
+    private CallerLimits callerLimits() {
+        return beliefs.table().map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    private PageServer.Page metricsPage(String target) {
+        return new PageServer.Page(200, "text/plain; version=0.0.4", metrics.scrape());
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(STOP_POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void await(Runnable action) {
+        try {
+            loop.submit(action).get(START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException("the event loop did not take a task", e);
+        }
+    }
+}
--- /dev/null
+++ b/host/src/main/java/io/carawaylift/host/OutboundConnection.java
@@ -0,0 +1,288 @@
+package io.carawaylift.host;
+
+import io.carawaylift.platform.store.RequestHeaders;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+import jdk.net.ExtendedSocketOptions;
+
+/**
+ * An HTTP connection to an endpoint or to the store, with one request at a time. An answer is handed over only when it is
+ * complete. Used on its event loop only.
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // failures close the channel, which is observed
+final class OutboundConnection extends ChannelInboundHandlerAdapter {
+    /** Longest answer that is accepted; a host holds answers whole, so that it can ask again after a broken one. */
+    private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
+
+    /** Idle seconds after which the kernel probes a connection, so that one that went silent is noticed. */
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+
+    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+
+    /** How long an idle connection is kept if the other side does not say. */
+    private static final int DEFAULT_IDLE_SECONDS = 5;
+
+    /** Part of the other side's idle timeout after which a connection is not used again. */
+    private static final double USED_IDLE_PART = 0.6;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_SUCCESS_STATUS = 299;
+
+    private final AnswerDecoder decoder = new AnswerDecoder();
+    private Channel channel;
+    private OutboundListener listener;
+    private String requestId;
+    private HttpResponse head;
+    private CompositeByteBuf body;
+    private boolean skipping;
+    private boolean reset;
+    private boolean written;
+    private boolean keepAlive = true;
+    private long idleUntilNanos;
+    private Runnable onClose = () -> {};
+    private boolean used;
+
+    private OutboundConnection() {}
+
+    /** Opens a connection; exactly one of the connection and the failure's reason is not null. */
+    static void open(
+            EventLoop loop,
+            InetSocketAddress address,
+            int timeoutMillis,
+            BiConsumer<OutboundConnection, String> result) {
+        OutboundConnection connection = new OutboundConnection();
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel opened) {
+                        opened.pipeline().addLast(new HttpRequestEncoder(), connection.decoder, connection);
+                    }
+                });
+        bootstrap.connect(address).addListener((ChannelFuture connected) -> {
+            if (connected.isSuccess()) {
+                connection.channel = connected.channel();
+                result.accept(connection, null);
+            } else {
+                result.accept(null, String.valueOf(connected.cause().getMessage()));
+            }
+        });
+    }
+
+    /** Sets what is done when the connection ends. */
+    void onClose(Runnable action) {
+        onClose = action;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param expectedId id that the answer must echo, empty if it need not echo one
+     */
+    void send(FullHttpRequest request, String expectedId, OutboundListener receiver) {
+        listener = receiver;
+        requestId = expectedId;
+        written = false;
+        used = true;
+        decoder.headRequest = request.method().equals(HttpMethod.HEAD);
+        if (!channel.isActive()) {
+            ReferenceCountUtil.release(request);
+            fail(false, "the connection was closed before the request was sent");
+            return;
+        }
+        channel.writeAndFlush(request).addListener(done -> written = done.isSuccess());
+    }
+
+    /** Returns whether a request was sent on this connection before. */
+    boolean isUsed() {
+        return used;
+    }
+
+    /** Returns whether another request may be sent. */
+    boolean isReusable(long nowNanos) {
+        return channel.isActive() && keepAlive && written && listener == null && idleUntilNanos - nowNanos > 0;
+    }
+
+    /** Closes the connection; a request in flight is cancelled without a call to its listener. */
+    void close() {
+        listener = null;
+        channel.close();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            read((HttpObject) message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(HttpObject message) {
+        if (listener == null) {
+            // Bytes that belong to no request; whatever follows cannot be trusted either.
+            channel.close();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            failAndClose("malformed answer: " + message.decoderResult().cause());
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            begin(response);
+        }
+        if (message instanceof HttpContent content && listener != null) {
+            add(content);
+        }
+    }
+
+    private void begin(HttpResponse response) {
+        int status = response.status().code();
+        String echoed = response.headers().get(RequestHeaders.REQUEST_ID);
+        boolean foreign = echoed != null && !requestId.isEmpty() && !echoed.equals(requestId);
+        skipping = status < FIRST_FINAL_STATUS || foreign;
+        if (foreign) {
+            // A late extra answer to an earlier request; the connection is not used again after the right one.
+            keepAlive = false;
+        }
+        if (skipping) {
+            return;
+        }
+        boolean success = status <= LAST_SUCCESS_STATUS;
+        if (success && !requestId.isEmpty() && echoed == null) {
+            failAndClose("the answer does not say to which request it belongs");
+            return;
+        }
+        head = response;
+        body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+    }
+
+    private void add(HttpContent content) {
+        if (skipping) {
+            skipping = !(content instanceof LastHttpContent);
+            return;
+        }
+        if (head == null) {
+            failAndClose("a body without a head");
+            return;
+        }
+        if (body.readableBytes() + content.content().readableBytes() > MAX_BODY_BYTES) {
+            failAndClose("the answer is longer than " + MAX_BODY_BYTES + " bytes");
+            return;
+        }
+        body.addComponent(true, content.content().retain());
+        if (content instanceof LastHttpContent) {
+            complete();
+        }
+    }
+
+    private void complete() {
+        boolean framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
+        if (reset && !framed) {
+            failAndClose("the connection was reset before the end of the answer");
+            return;
+        }
+        int idleSeconds = idleSeconds(head);
+        keepAlive &= HttpUtil.isKeepAlive(head) && framed;
+        idleUntilNanos = System.nanoTime() + (long) (idleSeconds * USED_IDLE_PART * NANOS_PER_SECOND);
+        OutboundListener receiver = listener;
+        ByteBuf whole = body;
+        HttpResponse answered = head;
+        listener = null;
+        head = null;
+        body = null;
+        receiver.answered(new OutboundAnswer(answered.status().code(), answered.headers(), whole));
+    }
+
+    /** Reads the idle timeout in whole seconds from a header such as {@code Keep-Alive: timeout=5}. */
+    private static int idleSeconds(HttpResponse response) {
+        String value = response.headers().get("Keep-Alive");
+        int at = value == null ? -1 : value.indexOf("timeout=");
+        if (at < 0) {
+            return DEFAULT_IDLE_SECONDS;
+        }
+        int end = at + "timeout=".length();
+        int seconds = 0;
+        while (end < value.length() && Character.isDigit(value.charAt(end)) && seconds < Short.MAX_VALUE) {
+            seconds = seconds * 10 + Character.digit(value.charAt(end), 10);
+            end++;
+        }
+        return seconds;
+    }
+
+    private void failAndClose(String reason) {
+        fail(true, reason);
+        channel.close();
+    }
+
+    private void fail(boolean mayHaveRun, String reason) {
+        OutboundListener receiver = listener;
+        listener = null;
+        releaseBody();
+        if (receiver != null) {
+            receiver.failed(new OutboundFailure(mayHaveRun, reason));
+        }
+    }
+
+    private void releaseBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+            head = null;
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail(true, reset ? "the connection was reset" : "the connection was closed before the answer was complete");
+        releaseBody();
+        onClose.run();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        reset = true;
+        context.close();
+    }
+
+    /** Decodes answers; an answer to HEAD has no body whatever its headers say. */
+    private static final class AnswerDecoder extends HttpResponseDecoder {
+        private boolean headRequest;
+
+        @Override
+        protected boolean isContentAlwaysEmpty(io.netty.handler.codec.http.HttpMessage message) {
+            return headRequest || super.isContentAlwaysEmpty(message);
+        }
+    }
+}
--- /dev/null
+++ b/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
@@ -0,0 +1,90 @@
+package io.carawaylift.host;
+
+import io.carawaylift.decisions.fleet.RegionShares;
+import io.carawaylift.decisions.fleet.SharedRetryBudget;
+import io.carawaylift.decisions.fleet.WorkTimes;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** What this host keeps about the requests for one service. Used on the event loop only. */
+final class ServiceTraffic {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    /** Time constant of the mean arrival rate; short enough to follow a change of load within seconds. */
+    private static final double RATE_SECONDS = 3;
+
+    private final WorkTimes times;
+    private final RegionShares shares;
+    private final SharedRetryBudget retries;
+    private final List<Exchange> waiting = new ArrayList<>();
+    private double requestsPerSecond;
+    private long countedSince;
+    private int counted;
+
+    ServiceTraffic(WorkTimes times, RegionShares shares, SharedRetryBudget retries, long nowNanos) {
+        this.times = times;
+        this.shares = shares;
+        this.retries = retries;
+        this.countedSince = nowNanos;
+    }
+
+    WorkTimes times() {
+        return times;
+    }
+
+    RegionShares shares() {
+        return shares;
+    }
+
+    SharedRetryBudget retries() {
+        return retries;
+    }
+
+    /** Records a request of a caller. */
+    void arrived(long nowNanos) {
+        counted++;
+        retries.request(nowNanos);
+    }
+
+    /** Folds the requests since the last call into the mean rate. */
+    void updateRate(long nowNanos) {
+        double seconds = (nowNanos - countedSince) / NANOS_PER_SECOND;
+        if (seconds <= 0) {
+            return;
+        }
+        double weight = 1 - Math.exp(-seconds / RATE_SECONDS);
+        requestsPerSecond += weight * (counted / seconds - requestsPerSecond);
+        counted = 0;
+        countedSince = nowNanos;
+    }
+
+    /** Returns the slots that this host's requests keep busy if their objects are remembered. */
+    double busySlots() {
+        return requestsPerSecond * times.expected(true) / MILLIS_PER_SECOND;
+    }
+
+    /** Adds a request that waits for room. */
+    void await(Exchange exchange) {
+        waiting.add(exchange);
+    }
+
+    void leave(Exchange exchange) {
+        waiting.remove(exchange);
+    }
+
+    /** Offers room to the waiting requests, those of the highest rank first. */
+    void offerRoom() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        List<Exchange> ordered = new ArrayList<>(waiting);
+        ordered.sort(Comparator.comparingInt(Exchange::priority).thenComparingLong(Exchange::arrivedNanos));
+        for (Exchange exchange : ordered) {
+            if (waiting.contains(exchange) && exchange.tryNow()) {
+                waiting.remove(exchange);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/host/src/main/java/io/carawaylift/host/StoreConnections.java
@@ -0,0 +1,118 @@
+package io.carawaylift.host;
+
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.platform.store.StoreTransport;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** Sends calls to the store over connections that are kept between calls. Used on the event loop only. */
+final class StoreConnections implements StoreTransport {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final HostMetrics metrics;
+    private final Deque<OutboundConnection> idle = new ArrayDeque<>();
+
+    StoreConnections(EventLoop loop, InetSocketAddress address, HostMetrics metrics) {
+        this.loop = loop;
+        this.address = address;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public CompletableFuture<Answer> send(String method, String target, RecordBytes body, Duration timeout) {
+        CompletableFuture<Answer> result = new CompletableFuture<>();
+        metrics.count("carawaylift.store.calls", "method", method);
+        OutboundConnection connection = takeIdle();
+        if (connection != null) {
+            send(connection, request(method, target, body), timeout, result);
+        } else {
+            OutboundConnection.open(loop, address, CONNECT_TIMEOUT_MILLIS, (opened, reason) -> {
+                if (opened == null) {
+                    result.completeExceptionally(new IOException("no connection to the store: " + reason));
+                } else {
+                    send(opened, request(method, target, body), timeout, result);
+                }
+            });
+        }
+        return result;
+    }
+
+    private void send(
+            OutboundConnection connection,
+            FullHttpRequest request,
+            Duration timeout,
+            CompletableFuture<Answer> result) {
+        Future<?> timer = loop.schedule(
+                () -> {
+                    connection.close();
+                    result.completeExceptionally(
+                            new IOException("no answer of the store within " + timeout.toMillis() + " ms"));
+                },
+                timeout.toMillis(),
+                TimeUnit.MILLISECONDS);
+        connection.send(request, "", new OutboundListener() {
+            @Override
+            public void answered(OutboundAnswer answer) {
+                timer.cancel(false);
+                RecordBytes bytes = RecordBytes.copyOf(ByteBufUtil.getBytes(answer.body()));
+                answer.body().release();
+                keep(connection);
+                result.complete(new Answer(answer.status(), bytes));
+            }
+
+            @Override
+            public void failed(OutboundFailure failure) {
+                timer.cancel(false);
+                result.completeExceptionally(new IOException(failure.reason()));
+            }
+        });
+    }
+
+    private FullHttpRequest request(String method, String target, RecordBytes body) {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, Unpooled.wrappedBuffer(body.toArray()));
+        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        if (body.length() > 0) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
+        }
+        return request;
+    }
+
+    private void keep(OutboundConnection connection) {
+        loop.execute(() -> {
+            if (connection.isReusable(System.nanoTime())) {
+                idle.addLast(connection);
+            } else {
+                connection.close();
+            }
+        });
+    }
+
+    private OutboundConnection takeIdle() {
+        while (!idle.isEmpty()) {
+            OutboundConnection connection = idle.pollLast();
+            if (connection.isReusable(System.nanoTime())) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+}
--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -117,4 +117,27 @@
             names = List.copyOf(names);
         }
     }
+
+    /**
+     * What a host that forwards requests says about itself, several times a second.
+     *
+     * @param host id of the host
+     * @param startedMillis Unix milliseconds of the program's start; a higher one is a newer program
+     * @param callerAddress {@code host:port} for callers' requests
+     * @param takesRequests whether callers may be sent to the host
+     * @param busySlots slots that the requests of the host's callers keep busy, by service
+     */
+    record HostReport(
+            String host,
+            String region,
+            String failureDomain,
+            long startedMillis,
+            String callerAddress,
+            boolean takesRequests,
+            Map<String, Double> busySlots)
+            implements Message {
+        public HostReport {
+            busySlots = Map.copyOf(busySlots);
+        }
+    }
 }
--- a/peer/src/main/java/io/carawaylift/peer/MessageType.java
+++ b/peer/src/main/java/io/carawaylift/peer/MessageType.java
@@ -13,7 +13,8 @@
     RECORDS_COMPLETE(9, Message.RecordsComplete.class),
     STORE_DIGEST(10, Message.StoreDigest.class),
     STORE_VERSIONS(11, Message.StoreVersions.class),
-    RECORD_REQUEST(12, Message.RecordRequest.class);
+    RECORD_REQUEST(12, Message.RecordRequest.class),
+    HOST_REPORT(13, Message.HostReport.class);
 
     private final int number;
     private final Class<? extends Message> messageClass;
--- a/runtime/src/main/java/io/carawaylift/runtime/Settings.java
+++ b/runtime/src/main/java/io/carawaylift/runtime/Settings.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
 
@@ -101,6 +103,35 @@
         return has(key) ? (int) whole(key, least, most) : absent;
     }
 
+    /** Returns a number within bounds, or {@code absent} if the key is missing. */
+    public double decimal(String key, double absent, double least, double most) {
+        if (!has(key)) {
+            return absent;
+        }
+        JsonNode value = node(key);
+        if (!value.isNumber() || value.doubleValue() < least || value.doubleValue() > most) {
+            throw broken(key, "must be a number from " + least + " to " + most);
+        }
+        return value.doubleValue();
+    }
+
+    /** Returns an address {@code host:port}. */
+    public String address(String key) {
+        return matching(key, text(key), ADDRESS);
+    }
+
+    /** Returns the texts of a section by their keys; empty if the section is missing. */
+    public Map<String, String> texts(String section) {
+        Map<String, String> texts = new LinkedHashMap<>();
+        for (Map.Entry<String, JsonNode> field : node(section).properties()) {
+            if (!field.getValue().isTextual()) {
+                throw broken(section + "." + field.getKey(), "must be a text");
+            }
+            texts.put(field.getKey(), field.getValue().textValue());
+        }
+        return texts;
+    }
+
     /** Returns whether the key is present. */
     public boolean has(String key) {
         return !node(key).isMissingNode();
