--- a/host/src/main/java/io/carawaylift/host/Beliefs.java
+++ b/host/src/main/java/io/carawaylift/host/Beliefs.java
@@ -10,15 +10,12 @@
 import io.carawaylift.platform.store.ObjectStore;
 import io.carawaylift.platform.store.StoreItem;
 import io.carawaylift.platform.store.StoreKinds;
-import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -30,11 +27,11 @@
     private static final long RETURN_OF_ENTRIES_MILLIS = 2000;
 
     private final Fleet fleet;
-    private final EventLoop loop;
+    private final HostLoop loop;
     private final EventLog log;
     private final EndpointDecoder endpoints;
     private final List<KindWatcher> watchers;
-    private final Map<String, Future<?>> removals = new HashMap<>();
+    private final Map<String, HostLoop.Timer> removals = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
     private Consumer<EndpointStatus> onUnusable = endpoint -> {};
     private Runnable onChange = () -> {};
@@ -42,7 +39,7 @@
     private boolean endpointsKnown;
     private boolean evacuationsKnown;
 
-    Beliefs(Fleet fleet, ObjectStore store, EventLoop loop, EventLog log, Map<String, String> regionsByZone) {
+    Beliefs(Fleet fleet, ObjectStore store, HostLoop loop, EventLog log, Map<String, String> regionsByZone) {
         this.fleet = fleet;
         this.loop = loop;
         this.log = log;
@@ -157,10 +154,7 @@
             if (storeWasAway) {
                 removals.put(
                         name,
-                        loop.schedule(
-                                () -> remove(name, "not back after the store returned"),
-                                RETURN_OF_ENTRIES_MILLIS,
-                                TimeUnit.MILLISECONDS));
+                        loop.after(RETURN_OF_ENTRIES_MILLIS, () -> remove(name, "not back after the store returned")));
             } else {
                 remove(name, "deleted");
             }
@@ -185,9 +179,9 @@
         }
 
         private void cancelRemoval(String name) {
-            Future<?> removal = removals.remove(name);
+            HostLoop.Timer removal = removals.remove(name);
             if (removal != null) {
-                removal.cancel(false);
+                removal.cancel();
             }
         }
     }
--- a/host/src/main/java/io/carawaylift/host/CallerServer.java
+++ b/host/src/main/java/io/carawaylift/host/CallerServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -26,14 +25,14 @@
     private static final int BACKLOG = 512;
     private static final int MAX_REQUEST_LINE_BYTES = 8192;
 
-    private final EventLoop loop;
+    private final HostLoop loop;
     private final Supplier<CallerLimits> limits;
     private final CallerConnection.Handler handler;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listening;
     private boolean stopping;
 
-    CallerServer(EventLoop loop, Supplier<CallerLimits> limits, CallerConnection.Handler handler) {
+    CallerServer(HostLoop loop, Supplier<CallerLimits> limits, CallerConnection.Handler handler) {
         this.loop = loop;
         this.limits = limits;
         this.handler = handler;
@@ -42,7 +41,7 @@
     /** Starts to accept; called from outside the event loop. */
     void start(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap()
-                .group(loop)
+                .group(loop.netty())
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
--- a/host/src/main/java/io/carawaylift/host/EndpointPool.java
+++ b/host/src/main/java/io/carawaylift/host/EndpointPool.java
@@ -1,7 +1,6 @@
 package io.carawaylift.host;
 
 import io.carawaylift.decisions.fleet.EndpointStatus;
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -15,11 +14,11 @@
     /** Longer than a round trip between regions; an endpoint that takes longer to accept is not worth waiting for. */
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
-    private final EventLoop loop;
+    private final HostLoop loop;
     private final HostMetrics metrics;
     private final Map<EndpointStatus, Deque<OutboundConnection>> idle = new HashMap<>();
 
-    EndpointPool(EventLoop loop, HostMetrics metrics) {
+    EndpointPool(HostLoop loop, HostMetrics metrics) {
         this.loop = loop;
         this.metrics = metrics;
     }
@@ -37,7 +36,7 @@
                 "carawaylift.endpoint.connections", "service", endpoint.entry().service());
         InetSocketAddress address =
                 new InetSocketAddress(endpoint.entry().host(), endpoint.entry().port());
-        OutboundConnection.open(loop, address, CONNECT_TIMEOUT_MILLIS, (connection, reason) -> {
+        OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, (connection, reason) -> {
             if (connection != null) {
                 endpoint.connectionsChanged(1);
                 connection.onClose(() -> {
--- a/host/src/main/java/io/carawaylift/host/Exchange.java
+++ b/host/src/main/java/io/carawaylift/host/Exchange.java
@@ -28,7 +28,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /** One request of a caller from its arrival to its answer. Used on the event loop only. */
@@ -69,10 +68,9 @@
     private String service = "";
     private ServiceTraffic traffic;
     private long deadlineNanos;
-    private Future<?> timer;
+    private HostLoop.Timer timer;
     private boolean finished;
     private boolean waiting;
-    private boolean callerGone;
     private boolean mayHaveRun;
     private int runs;
     private int sends;
@@ -120,12 +118,8 @@
         traffic.arrived(arrivedNanos);
         long allowedMillis = Math.min(remainingMillisOfCaller(), route.timeoutMillis());
         deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis);
-        timer = forwarder
-                .loop()
-                .schedule(
-                        this::deadlinePassed,
-                        deadlineNanos - System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_GRACE_MILLIS),
-                        TimeUnit.NANOSECONDS);
+        long untilDeadline = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        timer = forwarder.loop().after(untilDeadline + ANSWER_GRACE_MILLIS, this::deadlinePassed);
         attempt();
     }
 
@@ -153,7 +147,7 @@
         }
         waiting = true;
         traffic.await(this);
-        forwarder.loop().schedule(this::holdEnded, (long) (mayHoldMillis * NANOS_PER_MILLI), TimeUnit.NANOSECONDS);
+        forwarder.loop().after((long) mayHoldMillis, this::holdEnded);
     }
 
     private void holdEnded() {
@@ -430,7 +424,6 @@
         if (finished) {
             return;
         }
-        callerGone = true;
         if (route != null && !route.kind().idempotent() && inFlight != null) {
             // Closing would leave a confirmation half done; its answer is dropped.
             inFlight = null;
@@ -489,7 +482,7 @@
     private void end(ResultCode code, int status, String reason) {
         finished = true;
         if (timer != null) {
-            timer.cancel(false);
+            timer.cancel();
         }
         if (waiting) {
             traffic.leave(this);
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -15,7 +15,6 @@
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.peer.Message;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.Collection;
 import java.util.HashMap;
@@ -39,7 +38,7 @@
     private static final double INITIAL_WORK_PART = 0.5;
 
     private final HostOptions options;
-    private final EventLoop loop;
+    private final HostLoop loop;
     private final EventLog log;
     private final HostMetrics metrics;
     private final Beliefs beliefs;
@@ -55,7 +54,7 @@
 
     Forwarder(
             HostOptions options,
-            EventLoop loop,
+            HostLoop loop,
             EventLog log,
             HostMetrics metrics,
             Beliefs beliefs,
@@ -92,7 +91,7 @@
                         .put("status", status));
     }
 
-    EventLoop loop() {
+    HostLoop loop() {
         return loop;
     }
 
--- a/host/src/main/java/io/carawaylift/host/HostMetrics.java
+++ b/host/src/main/java/io/carawaylift/host/HostMetrics.java
@@ -19,7 +19,7 @@
         Duration.ofMillis(350),
         Duration.ofMillis(500),
         Duration.ofMillis(750),
-        Duration.ofMillis(1000),
+        Duration.ofSeconds(1),
         Duration.ofMillis(1500),
         Duration.ofMillis(3000),
         Duration.ofMillis(6000)
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -6,15 +6,11 @@
 import io.carawaylift.peer.Message;
 import io.carawaylift.platform.store.ObjectStore;
 import io.carawaylift.runtime.Service;
-import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 /** The program of an entry host: wires its parts on one event loop. */
 final class HostService implements Service {
@@ -29,14 +25,13 @@
     private static final double USED_GRACE_PART = 0.93;
 
     private static final long STOP_POLL_MILLIS = 50;
-    private static final long START_TIMEOUT_SECONDS = 30;
 
     private final HostOptions options;
     private final EventLog log;
     private final HostMetrics metrics = new HostMetrics();
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("host", true), NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    private final HostLoop loop;
     private final Fleet fleet = new Fleet();
     private final ObjectStore store;
     private final Beliefs beliefs;
@@ -51,6 +46,7 @@
     HostService(HostOptions options, EventLog log) {
         this.options = options;
         this.log = log;
+        this.loop = new HostLoop(group.next(), log);
         this.store = new ObjectStore(new StoreConnections(loop, options.store(), metrics), STORE_CALL_TIMEOUT);
         this.beliefs = new Beliefs(fleet, store, loop, log, options.regionsByZone());
         this.members = new Members(options, store, loop, log, this::report);
@@ -74,11 +70,11 @@
         new PageServer(loop, lookups::lookup).start(options.lookups());
         new PageServer(loop, this::metricsPage)
                 .start(new InetSocketAddress(options.host().address(), options.metricsPort()));
-        await(() -> {
+        loop.await(() -> {
             beliefs.start();
             members.start();
-            loop.scheduleWithFixedDelay(forwarder::plan, PLAN_MILLIS, PLAN_MILLIS, TimeUnit.MILLISECONDS);
-            loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+            loop.every(PLAN_MILLIS, forwarder::plan);
+            loop.every(SWEEP_MILLIS, this::sweep);
         });
         log.event(
                 "started",
@@ -94,7 +90,7 @@
     public void stop() {
         long began = System.nanoTime();
         log.event("stopping", line -> line.put("openRequests", forwarder.openRequests()));
-        await(() -> {
+        loop.await(() -> {
             stopping = true;
             callers.prepareStop();
             members.report();
@@ -104,7 +100,7 @@
         while (System.nanoTime() - began < most) {
             if (accepting && System.nanoTime() - began > ACCEPT_AFTER_STOP.toNanos()) {
                 accepting = false;
-                await(callers::closeIdle);
+                loop.await(callers::closeIdle);
             }
             if (!accepting && !callers.isBusy()) {
                 break;
@@ -146,14 +142,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    private void await(Runnable action) {
-        try {
-            loop.submit(action).get(START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException e) {
-            throw new IllegalStateException("the event loop did not take a task", e);
-        }
-    }
 }
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -4,7 +4,6 @@
 import io.carawaylift.platform.store.StoreChanges;
 import io.carawaylift.platform.store.StoreException;
 import io.carawaylift.platform.store.StoreItem;
-import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,7 +13,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Follows the objects of one kind in the store: lists them, then watches for changes, and lists them again when the store no
@@ -32,7 +30,7 @@
 
     private final String kind;
     private final ObjectStore store;
-    private final EventLoop loop;
+    private final HostLoop loop;
     private final EventLog log;
     private final Listener listener;
     private final SplittableRandom random = new SplittableRandom();
@@ -54,7 +52,7 @@
         void synchronizedWithStore();
     }
 
-    KindWatcher(String kind, ObjectStore store, EventLoop loop, EventLog log, Listener listener) {
+    KindWatcher(String kind, ObjectStore store, HostLoop loop, EventLog log, Listener listener) {
         this.kind = kind;
         this.store = store;
         this.loop = loop;
@@ -90,7 +88,7 @@
         if (stopped) {
             return;
         }
-        store.list(kind, after).whenComplete((page, failure) -> {
+        loop.handle(store.list(kind, after), (page, failure) -> {
             if (failure != null) {
                 failed(failure);
                 retryLater(this::list);
@@ -133,7 +131,7 @@
         if (stopped) {
             return;
         }
-        store.watch(kind, revision, WATCH_WAIT).whenComplete((changes, failure) -> {
+        loop.handle(store.watch(kind, revision, WATCH_WAIT), (changes, failure) -> {
             if (failure == null) {
                 boolean wasAway = !available;
                 succeeded();
@@ -161,7 +159,7 @@
         if (changes.changes().isEmpty()) {
             watch();
         } else {
-            loop.schedule(this::watch, COALESCE_MILLIS, TimeUnit.MILLISECONDS);
+            loop.after(COALESCE_MILLIS, this::watch);
         }
     }
 
@@ -197,7 +195,7 @@
     private void retryLater(Runnable action) {
         long pause = pauseMillis / 2 + random.nextLong(pauseMillis);
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
-        loop.schedule(action, pause, TimeUnit.MILLISECONDS);
+        loop.after(pause, action);
     }
 
     private static Throwable cause(Throwable failure) {
--- a/host/src/main/java/io/carawaylift/host/Members.java
+++ b/host/src/main/java/io/carawaylift/host/Members.java
@@ -13,7 +13,6 @@
 import io.carawaylift.platform.store.StoreException;
 import io.carawaylift.platform.store.StoreItem;
 import io.carawaylift.platform.store.StoreKinds;
-import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -22,7 +21,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
@@ -36,13 +34,13 @@
     /** Age after which a report no longer shows that its host lives: three reports and the delay between regions. */
     private static final long STALE_NANOS = 1_400_000_000L;
 
-    private static final Duration PING_INTERVAL = Duration.ofMillis(1000);
+    private static final Duration PING_INTERVAL = Duration.ofSeconds(1);
     private static final Duration READ_TIMEOUT = Duration.ofMillis(1600);
     private static final long REGISTER_AGAIN_MILLIS = 1000;
 
     private final HostOptions options;
     private final ObjectStore store;
-    private final EventLoop loop;
+    private final HostLoop loop;
     private final EventLog log;
     private final Supplier<Message.HostReport> ownReport;
     private final PeerNetwork network;
@@ -59,7 +57,7 @@
     Members(
             HostOptions options,
             ObjectStore store,
-            EventLoop loop,
+            HostLoop loop,
             EventLog log,
             Supplier<Message.HostReport> ownReport) {
         this.options = options;
@@ -78,7 +76,7 @@
     void start() {
         network.listen(options.host().address(), options.peerPort(), hello(), new Reports());
         watcher.start();
-        loop.scheduleWithFixedDelay(this::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.every(REPORT_MILLIS, this::report);
     }
 
     /** Sends the own report now, so that a change such as a stop is known at once. */
@@ -137,7 +135,7 @@
     private void register() {
         String name = options.host().id();
         long expected = revisions.getOrDefault(name, ObjectStore.ABSENT);
-        store.put(StoreKinds.HOSTS, name, expected, entry()).whenComplete((item, failure) -> {
+        loop.handle(store.put(StoreKinds.HOSTS, name, expected, entry()), (item, failure) -> {
             if (failure == null) {
                 registered = true;
                 log.event("member.registered", line -> line.put("revision", item.revision()));
@@ -147,7 +145,7 @@
             log.event("member.not_registered", line -> line.put("reason", String.valueOf(cause.getMessage())));
             boolean conflict = cause instanceof StoreException refused && refused.status() == CONFLICT;
             if (!conflict) {
-                loop.schedule(this::registerUnlessListed, REGISTER_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+                loop.after(REGISTER_AGAIN_MILLIS, this::registerUnlessListed);
             }
         });
     }
--- a/host/src/main/java/io/carawaylift/host/PageServer.java
+++ b/host/src/main/java/io/carawaylift/host/PageServer.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -35,7 +34,7 @@
     private static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int IDLE_SECONDS = 15;
 
-    private final EventLoop loop;
+    private final HostLoop loop;
     private final Function<String, Page> pages;
 
     /** A page and its status. */
@@ -44,7 +43,7 @@
     }
 
     /** Creates a server; {@code pages} maps a target in origin form to a page, on the event loop. */
-    PageServer(EventLoop loop, Function<String, Page> pages) {
+    PageServer(HostLoop loop, Function<String, Page> pages) {
         this.loop = loop;
         this.pages = pages;
     }
@@ -52,7 +51,7 @@
     /** Starts to accept; called from outside the event loop. */
     void start(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap()
-                .group(loop)
+                .group(loop.netty())
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
--- a/host/src/main/java/io/carawaylift/host/StoreConnections.java
+++ b/host/src/main/java/io/carawaylift/host/StoreConnections.java
@@ -4,7 +4,6 @@
 import io.carawaylift.platform.store.StoreTransport;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -16,19 +15,17 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /** Sends calls to the store over connections that are kept between calls. Used on the event loop only. */
 final class StoreConnections implements StoreTransport {
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
-    private final EventLoop loop;
+    private final HostLoop loop;
     private final InetSocketAddress address;
     private final HostMetrics metrics;
     private final Deque<OutboundConnection> idle = new ArrayDeque<>();
 
-    StoreConnections(EventLoop loop, InetSocketAddress address, HostMetrics metrics) {
+    StoreConnections(HostLoop loop, InetSocketAddress address, HostMetrics metrics) {
         this.loop = loop;
         this.address = address;
         this.metrics = metrics;
@@ -42,7 +39,7 @@
         if (connection != null) {
             send(connection, request(method, target, body), timeout, result);
         } else {
-            OutboundConnection.open(loop, address, CONNECT_TIMEOUT_MILLIS, (opened, reason) -> {
+            OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, (opened, reason) -> {
                 if (opened == null) {
                     result.completeExceptionally(new IOException("no connection to the store: " + reason));
                 } else {
@@ -58,18 +55,15 @@
             FullHttpRequest request,
             Duration timeout,
             CompletableFuture<Answer> result) {
-        Future<?> timer = loop.schedule(
-                () -> {
-                    connection.close();
-                    result.completeExceptionally(
-                            new IOException("no answer of the store within " + timeout.toMillis() + " ms"));
-                },
-                timeout.toMillis(),
-                TimeUnit.MILLISECONDS);
+        HostLoop.Timer timer = loop.after(timeout.toMillis(), () -> {
+            connection.close();
+            result.completeExceptionally(
+                    new IOException("no answer of the store within " + timeout.toMillis() + " ms"));
+        });
         connection.send(request, "", new OutboundListener() {
             @Override
             public void answered(OutboundAnswer answer) {
-                timer.cancel(false);
+                timer.cancel();
                 RecordBytes bytes = RecordBytes.copyOf(ByteBufUtil.getBytes(answer.body()));
                 answer.body().release();
                 keep(connection);
@@ -78,7 +72,7 @@
 
             @Override
             public void failed(OutboundFailure failure) {
-                timer.cancel(false);
+                timer.cancel();
                 result.completeExceptionally(new IOException(failure.reason()));
             }
         });
