Fill in the settings template by the platform's plain names

Cause: the template used the names of the settings file's tables, which the platform leaves out in templates.

--- a/host/src/main/java/io/carawaylift/host/HostOptions.java
+++ b/host/src/main/java/io/carawaylift/host/HostOptions.java
@@ -28,6 +28,9 @@
         InetSocketAddress store,
         Map<String, String> regionsByZone,
         SharedLimits limits) {
+    private static final double LEAST_SECONDS = 0.1;
+    private static final double MOST_SECONDS = 600;
+    private static final double MILLIS_PER_SECOND = 1000;
 
     /**
      * Limits of the platform's operators.
@@ -56,21 +59,18 @@
                 socketAddress(settings.address("platform.store")),
                 settings.texts("zones"),
                 new SharedLimits(
-                        settings.millis(
-                                "limits.grace_period_ms",
-                                Duration.ofSeconds(6),
-                                Duration.ofMillis(100),
-                                Duration.ofMinutes(10)),
+                        seconds(settings, "limits.grace_period_s", 6),
                         settings.decimal("limits.retry_ratio", 0.2, 0, 1),
                         settings.decimal("limits.retry_allowance", 10, 0, 1e6),
-                        settings.millis(
-                                "limits.retry_window_ms",
-                                Duration.ofSeconds(10),
-                                Duration.ofMillis(100),
-                                Duration.ofMinutes(10)),
+                        seconds(settings, "limits.retry_window_s", 10),
                         settings.decimal("limits.max_region_shift", 0.15, 0, 1)));
     }
 
+    private static Duration seconds(Settings settings, String key, double absent) {
+        double seconds = settings.decimal(key, absent, LEAST_SECONDS, MOST_SECONDS);
+        return Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
+    }
+
     private static InetSocketAddress socketAddress(String address) {
         int colon = address.lastIndexOf(':');
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
