--- a/host/src/main/java/io/carawaylift/host/Exchange.java
+++ b/host/src/main/java/io/carawaylift/host/Exchange.java
@@ -37,6 +37,12 @@
     /** Part of the target for which a request may wait here for room; longer holding is a price without a service. */
     private static final double HOLD_PART = 0.125;
 
+    /** Part of the timeout after which a request that found no room is refused; its caller can still come back in time. */
+    private static final double MAX_HOLD_PART = 0.35;
+
+    /** Part of the timeout within which an answer must be expected for a request that can no longer be in time. */
+    private static final double LATE_PART = 0.8;
+
     /** An endpoint ends its work at the deadline and says so; its answer is given this long to arrive. */
     private static final long ANSWER_GRACE_MILLIS = 150;
 
@@ -71,6 +77,8 @@
     private HostLoop.Timer timer;
     private boolean finished;
     private boolean waiting;
+    private boolean acceptLate;
+    private String region = "";
     private boolean mayHaveRun;
     private int runs;
     private int sends;
@@ -139,24 +147,26 @@
         if (tryNow()) {
             return;
         }
-        double heldMillis = millisSince(arrivedNanos);
-        double mayHoldMillis = HOLD_PART * route.targetLatencyMillis() - heldMillis;
-        if (mayHoldMillis <= 1) {
-            refuse(ResultCode.QUEUE_FULL, "no endpoint has room");
-            return;
-        }
         waiting = true;
         traffic.await(this);
-        forwarder.loop().after((long) mayHoldMillis, this::holdEnded);
+        forwarder.loop().after((long) (HOLD_PART * route.targetLatencyMillis()), this::freeHoldEnded);
+        forwarder.loop().after((long) (MAX_HOLD_PART * route.timeoutMillis()), this::holdEnded);
     }
 
-    private void holdEnded() {
-        if (!waiting) {
-            return;
+    /** From now on a late answer is better than none. */
+    private void freeHoldEnded() {
+        if (waiting) {
+            acceptLate = true;
+            if (tryNow()) {
+                traffic.leave(this);
+            }
         }
-        traffic.leave(this);
-        waiting = false;
-        if (!tryNow()) {
+    }
+
+    private void holdEnded() {
+        if (waiting) {
+            traffic.leave(this);
+            waiting = false;
             refuse(ResultCode.QUEUE_FULL, "no endpoint had room while the request waited");
         }
     }
@@ -175,8 +185,13 @@
                 excluded,
                 forwarder.coldRate(service),
                 forwarder::mayWarm);
+        if (region.isEmpty()) {
+            region = traffic.shares().next(route::mayRunIn);
+        }
         Optional<Choice> choice = choose(need, now);
-        if (choice.isEmpty() || !forwarder.picker().tryTake(choice.get(), need, now)) {
+        if (choice.isEmpty()
+                || !hasRoom(choice.get(), now)
+                || !forwarder.picker().tryTake(choice.get(), need, now)) {
             return false;
         }
         waiting = false;
@@ -184,17 +199,15 @@
         return true;
     }
 
+    /** Chooses in the planned region, or elsewhere if that has no usable endpoint; a busy region keeps its requests. */
     private Optional<Choice> choose(Need need, long now) {
-        String planned = traffic.shares().next(region -> route.mayRunIn(region));
-        if (!planned.isEmpty()) {
-            Optional<Choice> choice = inRegion(need, planned, now);
-            if (choice.isPresent()) {
-                return choice;
-            }
+        Optional<Choice> planned = forwarder.picker().pick(need, region, traffic.times(), now);
+        if (planned.isPresent()) {
+            return planned;
         }
-        for (String region : forwarder.regions()) {
-            if (route.mayRunIn(region) && !region.equals(planned)) {
-                Optional<Choice> choice = inRegion(need, region, now);
+        for (String other : forwarder.regions()) {
+            if (route.mayRunIn(other) && !other.equals(region)) {
+                Optional<Choice> choice = forwarder.picker().pick(need, other, traffic.times(), now);
                 if (choice.isPresent()) {
                     return choice;
                 }
@@ -203,12 +216,8 @@
         return Optional.empty();
     }
 
-    private Optional<Choice> inRegion(Need need, String region, long now) {
-        return forwarder.picker().pick(need, region, traffic.times(), now).filter(choice -> worthwhile(choice, now));
-    }
-
-    /** Returns whether the endpoint has a free slot or is expected to answer within the target. */
-    private boolean worthwhile(Choice choice, long now) {
+    /** Returns whether the endpoint has a free slot or is expected to answer early enough. */
+    private boolean hasRoom(Choice choice, long now) {
         if (choice.waitMillis() <= 0) {
             return true;
         }
@@ -217,7 +226,8 @@
                 + forwarder.roundTripMillis(choice.endpoint().entry().region())
                 + choice.waitMillis()
                 + choice.workMillis();
-        return predicted <= route.targetLatencyMillis();
+        double limit = acceptLate ? LATE_PART * route.timeoutMillis() : route.targetLatencyMillis();
+        return predicted <= limit;
     }
 
     private void send(Choice choice, long now) {
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -34,8 +34,8 @@
     /** Windows of two seconds are compared, so a steady change shows twice in them; the rest is room for chance. */
     private static final double SHIFT_PART_PER_SECOND = 0.25;
 
-    /** Expected work before the first answer, as a part of the route's target. */
-    private static final double INITIAL_WORK_PART = 0.5;
+    /** Utilization of a service's slots that is assumed before traffic was measured. */
+    private static final double PRESUMED_UTILIZATION = 0.6;
 
     private final HostOptions options;
     private final HostLoop loop;
@@ -143,18 +143,19 @@
     }
 
     ServiceTraffic traffic(String service, Route route) {
-        return traffic.computeIfAbsent(service, name -> newTraffic(route.targetLatencyMillis() * INITIAL_WORK_PART));
+        return traffic.computeIfAbsent(service, name -> newTraffic(service, (double) route.targetLatencyMillis()));
     }
 
-    private ServiceTraffic newTraffic(double workMillis) {
+    private ServiceTraffic newTraffic(String service, double targetMillis) {
         HostOptions.SharedLimits limits = options.limits();
         RegionShares shares =
                 new RegionShares(ownRegion(), FULL_UTILIZATION, limits.maxRegionShift() * SHIFT_PART_PER_SECOND);
+        shares.update(usableSlots(service, System.nanoTime()), presumedDemand(service), System.nanoTime());
         SharedRetryBudget retries = new SharedRetryBudget(
                 limits.retryRatio(),
                 limits.retryAllowance(),
                 limits.retryWindow().toNanos());
-        return new ServiceTraffic(new WorkTimes(workMillis), shares, retries, System.nanoTime());
+        return new ServiceTraffic(new WorkTimes(targetMillis), shares, retries, System.nanoTime());
     }
 
     /** Returns the number of hosts that share limits with this one, itself included. */
@@ -205,23 +206,38 @@
         long now = System.nanoTime();
         traffic.forEach((service, each) -> {
             each.updateRate(now);
-            Map<String, Double> slots = new TreeMap<>();
-            for (EndpointStatus endpoint : fleet.usable(service)) {
-                if (!endpoint.isCold(now)) {
-                    slots.merge(
-                            endpoint.entry().region(), (double) endpoint.entry().slots(), Double::sum);
-                }
-            }
             Map<String, Double> demand = new TreeMap<>();
             demand.merge(ownRegion(), each.busySlots(), Double::sum);
             for (Message.HostReport other : others.get()) {
                 demand.merge(other.region(), other.busySlots().getOrDefault(service, 0.0), Double::sum);
             }
-            each.shares().update(slots, demand, now);
+            each.shares().update(usableSlots(service, now), demand, now);
             each.offerRoom();
         });
     }
 
+    private Map<String, Double> usableSlots(String service, long now) {
+        Map<String, Double> slots = new TreeMap<>();
+        for (EndpointStatus endpoint : fleet.usable(service)) {
+            if (!endpoint.isCold(now)) {
+                slots.merge(endpoint.entry().region(), (double) endpoint.entry().slots(), Double::sum);
+            }
+        }
+        return slots;
+    }
+
+    /** Returns the demand that is assumed before any was measured: the same in each zone. */
+    private Map<String, Double> presumedDemand(String service) {
+        double slots = 0;
+        for (double each : usableSlots(service, System.nanoTime()).values()) {
+            slots += each;
+        }
+        double perZone = PRESUMED_UTILIZATION * slots / options.regionsByZone().size();
+        Map<String, Double> demand = new TreeMap<>();
+        options.regionsByZone().values().forEach(region -> demand.merge(region, perZone, Double::sum));
+        return demand;
+    }
+
     /** Closes connections to an endpoint that gets no new requests. */
     void unusable(EndpointStatus endpoint) {
         pool.drop(endpoint);
--- a/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
+++ b/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
@@ -60,9 +60,9 @@
         countedSince = nowNanos;
     }
 
-    /** Returns the slots that this host's requests keep busy if their objects are remembered. */
+    /** Returns the slots that this host's requests keep busy. */
     double busySlots() {
-        return requestsPerSecond * times.expected(true) / MILLIS_PER_SECOND;
+        return requestsPerSecond * times.mean() / MILLIS_PER_SECOND;
     }
 
     /** Adds a request that waits for room. */
