Reload settings on SIGHUP or a change of the file, and pass library logs to the event log

Cause: the JVM ends on SIGHUP, so a reload cost a restart; the settings file may also change without a signal.

--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
@@ -14,7 +14,7 @@
 
     private final String ownRegion;
     private final double fullUtilization;
-    private final double maxChangePerSecond;
+    private double maxChangePerSecond;
     private final Map<String, Double> shares = new TreeMap<>();
     private final Map<String, Double> credits = new HashMap<>();
     private long updatedNanos;
@@ -31,6 +31,11 @@
         this.maxChangePerSecond = maxChangePerSecond;
     }
 
+    /** Sets the share that may change its region in a second. */
+    public void setMaxChangePerSecond(double share) {
+        maxChangePerSecond = share;
+    }
+
     /**
      * Moves the shares towards the wanted ones.
      *
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/SharedRetryBudget.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/SharedRetryBudget.java
@@ -12,9 +12,9 @@
     /** Part of the limit that is used: windows of hosts differ, and requests in flight are counted late. */
     private static final double USED_PART = 0.7;
 
-    private final double ratio;
-    private final double allowance;
-    private final long windowNanos;
+    private double ratio;
+    private double allowance;
+    private long windowNanos;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
 
@@ -25,9 +25,14 @@
      * @param allowance repeats in a window that all hosts together may send beyond the ratio
      */
     public SharedRetryBudget(double ratio, double allowance, long windowNanos) {
-        this.ratio = ratio;
-        this.allowance = allowance;
-        this.windowNanos = windowNanos;
+        setLimits(ratio, allowance, windowNanos);
+    }
+
+    /** Changes the limits; what was recorded stays recorded. */
+    public final void setLimits(double newRatio, double newAllowance, long newWindowNanos) {
+        ratio = newRatio;
+        allowance = newAllowance;
+        windowNanos = newWindowNanos;
     }
 
     /** Records a request of a caller for the service. */
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -50,6 +50,7 @@
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
     private final Map<String, Double> regionDelays = new HashMap<>();
     private final Set<String> regions;
+    private HostOptions.SharedLimits limits;
     private int open;
 
     Forwarder(
@@ -62,6 +63,7 @@
             EndpointPool pool,
             Supplier<Collection<Message.HostReport>> others) {
         this.options = options;
+        this.limits = options.limits();
         this.loop = loop;
         this.log = log;
         this.metrics = metrics;
@@ -91,6 +93,19 @@
                         .put("status", status));
     }
 
+    /** Takes changed limits. */
+    void setLimits(HostOptions.SharedLimits newer) {
+        limits = newer;
+        traffic.values().forEach(each -> {
+            each.retries()
+                    .setLimits(
+                            newer.retryRatio(),
+                            newer.retryAllowance(),
+                            newer.retryWindow().toNanos());
+            each.shares().setMaxChangePerSecond(newer.maxRegionShift() * SHIFT_PART_PER_SECOND);
+        });
+    }
+
     HostLoop loop() {
         return loop;
     }
@@ -147,7 +162,6 @@
     }
 
     private ServiceTraffic newTraffic(String service, double targetMillis) {
-        HostOptions.SharedLimits limits = options.limits();
         RegionShares shares =
                 new RegionShares(ownRegion(), FULL_UTILIZATION, limits.maxRegionShift() * SHIFT_PART_PER_SECOND);
         shares.update(usableSlots(service, System.nanoTime()), presumedDemand(service), System.nanoTime());
--- a/host/src/main/java/io/carawaylift/host/HostProgram.java
+++ b/host/src/main/java/io/carawaylift/host/HostProgram.java
@@ -21,6 +21,8 @@
 
     private static HostService service(Settings settings) {
         HostOptions options = HostOptions.of(settings);
-        return new HostService(options, new EventLog(options.host().id(), new FileOutputStream(FileDescriptor.out)));
+        EventLog log = new EventLog(options.host().id(), new FileOutputStream(FileDescriptor.out));
+        EventLoggerFinder.setTarget(log);
+        return new HostService(options, log, new SettingsFile(settings.path(), settings.source(), log));
     }
 }
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -18,6 +18,9 @@
     private static final long PLAN_MILLIS = 250;
     private static final long SWEEP_MILLIS = 500;
 
+    /** The settings may change without a signal; the platform allows seconds until a change is in force. */
+    private static final long SETTINGS_MILLIS = 1000;
+
     /** Time after a stop for which requests are still accepted: the lifetime of a look-up's answer and some delay. */
     private static final Duration ACCEPT_AFTER_STOP = Duration.ofMillis(2600);
 
@@ -26,7 +29,8 @@
 
     private static final long STOP_POLL_MILLIS = 50;
 
-    private final HostOptions options;
+    private final SettingsFile settings;
+    private HostOptions options;
     private final EventLog log;
     private final HostMetrics metrics = new HostMetrics();
     private final MultiThreadIoEventLoopGroup group =
@@ -43,8 +47,9 @@
     private final long startedMillis = System.currentTimeMillis();
     private boolean stopping;
 
-    HostService(HostOptions options, EventLog log) {
+    HostService(HostOptions options, EventLog log, SettingsFile settings) {
         this.options = options;
+        this.settings = settings;
         this.log = log;
         this.loop = new HostLoop(group.next(), log);
         this.store = new ObjectStore(new StoreConnections(loop, options.store(), metrics), STORE_CALL_TIMEOUT);
@@ -75,12 +80,26 @@
             members.start();
             loop.every(PLAN_MILLIS, forwarder::plan);
             loop.every(SWEEP_MILLIS, this::sweep);
+            loop.every(SETTINGS_MILLIS, this::reloadIfChanged);
         });
         log.event(
                 "started",
                 line -> line.put("zone", options.host().failureDomain()).put("callers", Lookups.address(options)));
     }
 
+    private void reloadIfChanged() {
+        settings.changed().ifPresent(newer -> {
+            // Addresses are bound once; a process with others would be another host.
+            options = newer;
+            forwarder.setLimits(newer.limits());
+            log.event(
+                    "reloaded",
+                    line -> line.put("retryRatio", newer.limits().retryRatio())
+                            .put("retryAllowance", newer.limits().retryAllowance())
+                            .put("maxRegionShift", newer.limits().maxRegionShift()));
+        });
+    }
+
     private void sweep() {
         callers.sweep();
         pool.sweep();
--- a/runtime/src/main/java/io/carawaylift/runtime/Settings.java
+++ b/runtime/src/main/java/io/carawaylift/runtime/Settings.java
@@ -25,10 +25,12 @@
     private static final int MAX_PORT = 65_535;
 
     private final String file;
+    private final String source;
     private final JsonNode root;
 
-    private Settings(String file, JsonNode root) {
+    private Settings(String file, String source, JsonNode root) {
         this.file = file;
+        this.source = source;
         this.root = root;
     }
 
@@ -44,12 +46,22 @@
     /** Parses the text of a settings file; {@code file} is used in error messages. */
     public static Settings parse(String file, String toml) {
         try {
-            return new Settings(file, new TomlMapper().readTree(toml));
+            return new Settings(file, toml, new TomlMapper().readTree(toml));
         } catch (JsonProcessingException e) {
             throw new SettingsException(file, "(syntax)", e.getOriginalMessage(), "must be TOML");
         }
     }
 
+    /** Returns the path of the file, as it was given. */
+    public Path path() {
+        return Path.of(file);
+    }
+
+    /** Returns the text of the file. */
+    public String source() {
+        return source;
+    }
+
     /** Returns a name: lower-case letters, digits and hyphens. */
     public String name(String key) {
         return matching(key, text(key), NAME);
