Keep an object's requests in one region and plan for the memory of the region's endpoints

Cause: shares of regions were dealt per request, so with one endpoint left in a region it was asked for 56 objects, more than endpoints remember, and every answer took the longer time (p50 800 ms).

--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -14,7 +14,7 @@
     private static final double SLOWNESS_WEIGHT = 0.2;
 
     /** Objects remembered for an endpoint; endpoints remember a few dozen. */
-    private static final int REMEMBERED_OBJECTS = 24;
+    public static final int REMEMBERED_OBJECTS = 24;
 
     /** Requests that may be sent to a cold endpoint at once; the limit of the platform has more slack than this. */
     private static final double COLD_BURST = 2;
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
@@ -12,6 +12,9 @@
 public final class RegionShares {
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Requests by which a region may be ahead of its share; a few keep the shares of short windows steady. */
+    private static final double MAX_DEBT = 3;
+
     private final String ownRegion;
     private final double fullUtilization;
     private double maxChangePerSecond;
@@ -41,9 +44,10 @@
      *
      * @param slots usable slots by region
      * @param demand slots that the requests of each region's callers keep busy
+     * @param mostAtHome share whose objects the endpoints of the own region can remember
      */
-    public void update(Map<String, Double> slots, Map<String, Double> demand, long nowNanos) {
-        Map<String, Double> wanted = wanted(slots, demand);
+    public void update(Map<String, Double> slots, Map<String, Double> demand, double mostAtHome, long nowNanos) {
+        Map<String, Double> wanted = wanted(slots, demand, mostAtHome);
         if (shares.isEmpty()) {
             shares.putAll(wanted);
         } else {
@@ -53,25 +57,42 @@
         updatedNanos = nowNanos;
     }
 
-    /** Returns the region of the next request among the usable ones, or an empty text if none has a share. */
-    public String next(Predicate<String> usable) {
+    /**
+     * Returns the region of the next request among the usable ones, or an empty text if none has a share. The requests for
+     * an object go to the same region as long as the regions' shares are kept within a few requests, so that few endpoints
+     * have to remember it.
+     *
+     * @param object key of the object that the request concerns, empty if none
+     */
+    public String next(String object, Predicate<String> usable) {
         double total = 0;
-        String chosen = "";
+        String creditor = "";
+        String preferred = "";
         double most = Double.NEGATIVE_INFINITY;
+        double first = Double.POSITIVE_INFINITY;
         for (Map.Entry<String, Double> share : shares.entrySet()) {
-            if (share.getValue() <= 0 || !usable.test(share.getKey())) {
+            String region = share.getKey();
+            if (share.getValue() <= 0 || !usable.test(region)) {
                 continue;
             }
             total += share.getValue();
-            double credit = credits.merge(share.getKey(), share.getValue(), Double::sum);
+            double credit = credits.merge(region, share.getValue(), Double::sum);
             if (credit > most) {
                 most = credit;
-                chosen = share.getKey();
+                creditor = region;
+            }
+            double order = -Math.log(Rendezvous.fraction(object, region)) / share.getValue();
+            if (order < first) {
+                first = order;
+                preferred = region;
             }
         }
-        if (!chosen.isEmpty()) {
-            credits.merge(chosen, -total, Double::sum);
+        if (creditor.isEmpty()) {
+            return "";
         }
+        boolean withinDebt = !object.isEmpty() && credits.get(preferred) - total >= -MAX_DEBT;
+        String chosen = withinDebt ? preferred : creditor;
+        credits.merge(chosen, -total, Double::sum);
         return chosen;
     }
 
@@ -80,13 +101,13 @@
         return shares.getOrDefault(region, 0.0);
     }
 
-    private Map<String, Double> wanted(Map<String, Double> slots, Map<String, Double> demand) {
+    private Map<String, Double> wanted(Map<String, Double> slots, Map<String, Double> demand, double mostAtHome) {
         double totalSlots = sum(slots);
         double totalDemand = sum(demand);
         double utilization = Math.max(fullUtilization, totalDemand / Math.max(1, totalSlots));
         double own = demand.getOrDefault(ownRegion, 0.0);
         double ownRoom = utilization * slots.getOrDefault(ownRegion, 0.0);
-        double stays = own <= ownRoom ? 1 : ownRoom / own;
+        double stays = Math.min(mostAtHome, own <= ownRoom ? 1 : ownRoom / own);
         Map<String, Double> wanted = new TreeMap<>();
         wanted.put(ownRegion, stays);
         Map<String, Double> room = new TreeMap<>();
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/Rendezvous.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/Rendezvous.java
@@ -4,6 +4,11 @@
 public final class Rendezvous {
     private static final long GOLDEN_GAMMA = 0x9e3779b97f4a7c15L;
 
+    /** Bits of a hash beyond the precision of a double. */
+    private static final int UNUSED_BITS = 11;
+
+    private static final double FRACTIONS = 0x1p53;
+
     private Rendezvous() {}
 
     /** Returns the weight of a candidate for a key; the candidate with the highest weight comes first. */
@@ -11,6 +16,11 @@
         return mix(hash(key) ^ Long.rotateLeft(hash(candidate), 32));
     }
 
+    /** Returns a number between 0 and 1, both excluded, that depends on the key and the candidate only. */
+    public static double fraction(String key, String candidate) {
+        return ((weight(key, candidate) >>> UNUSED_BITS) + 0.5) / FRACTIONS;
+    }
+
     private static long hash(String text) {
         long hash = GOLDEN_GAMMA;
         for (int i = 0; i < text.length(); i++) {
--- a/host/src/main/java/io/carawaylift/host/Exchange.java
+++ b/host/src/main/java/io/carawaylift/host/Exchange.java
@@ -123,7 +123,7 @@
         }
         service = forwarder.chooseService(route);
         traffic = forwarder.traffic(service, route);
-        traffic.arrived(arrivedNanos);
+        traffic.arrived(object, arrivedNanos);
         long allowedMillis = Math.min(remainingMillisOfCaller(), route.timeoutMillis());
         deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis);
         long untilDeadline = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
@@ -186,7 +186,7 @@
                 forwarder.coldRate(service),
                 forwarder::mayWarm);
         if (region.isEmpty()) {
-            region = traffic.shares().next(route::mayRunIn);
+            region = traffic.shares().next(object, route::mayRunIn);
         }
         Optional<Choice> choice = choose(need, now);
         if (choice.isEmpty()
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -34,6 +34,9 @@
     /** Windows of two seconds are compared, so a steady change shows twice in them; the rest is room for chance. */
     private static final double SHIFT_PART_PER_SECOND = 0.25;
 
+    /** Part of the memory of a region's endpoints that is planned for: hashing fills them unevenly. */
+    private static final double USED_MEMORY_PART = 0.9;
+
     /** Utilization of a service's slots that is assumed before traffic was measured. */
     private static final double PRESUMED_UTILIZATION = 0.6;
 
@@ -164,7 +167,7 @@
     private ServiceTraffic newTraffic(String service, double targetMillis) {
         RegionShares shares =
                 new RegionShares(ownRegion(), FULL_UTILIZATION, limits.maxRegionShift() * SHIFT_PART_PER_SECOND);
-        shares.update(usableSlots(service, System.nanoTime()), presumedDemand(service), System.nanoTime());
+        shares.update(usableSlots(service, System.nanoTime()), presumedDemand(service), 1, System.nanoTime());
         SharedRetryBudget retries = new SharedRetryBudget(
                 limits.retryRatio(),
                 limits.retryAllowance(),
@@ -225,11 +228,20 @@
             for (Message.HostReport other : others.get()) {
                 demand.merge(other.region(), other.busySlots().getOrDefault(service, 0.0), Double::sum);
             }
-            each.shares().update(usableSlots(service, now), demand, now);
+            each.shares().update(usableSlots(service, now), demand, mostAtHome(service, each, now), now);
             each.offerRoom();
         });
     }
 
+    /** Returns the share of the requests whose objects the endpoints of the own region can remember. */
+    private double mostAtHome(String service, ServiceTraffic each, long now) {
+        long endpoints = fleet.usable(service).stream()
+                .filter(endpoint -> endpoint.entry().region().equals(ownRegion()))
+                .count();
+        double remembered = USED_MEMORY_PART * EndpointStatus.REMEMBERED_OBJECTS * endpoints;
+        return Math.min(1, remembered / Math.max(1, each.recentObjects(now)));
+    }
+
     private Map<String, Double> usableSlots(String service, long now) {
         Map<String, Double> slots = new TreeMap<>();
         for (EndpointStatus endpoint : fleet.usable(service)) {
--- a/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
+++ b/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
@@ -5,7 +5,9 @@
 import io.carawaylift.decisions.fleet.WorkTimes;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** What this host keeps about the requests for one service. Used on the event loop only. */
 final class ServiceTraffic {
@@ -15,9 +17,13 @@
     /** Time constant of the mean arrival rate; short enough to follow a change of load within seconds. */
     private static final double RATE_SECONDS = 3;
 
+    /** Time for which an object counts as asked for; long enough to see most of the objects of a region. */
+    private static final long OBJECT_NANOS = 10_000_000_000L;
+
     private final WorkTimes times;
     private final RegionShares shares;
     private final SharedRetryBudget retries;
+    private final Map<String, Long> objects = new HashMap<>();
     private final List<Exchange> waiting = new ArrayList<>();
     private double requestsPerSecond;
     private long countedSince;
@@ -42,10 +48,19 @@
         return retries;
     }
 
-    /** Records a request of a caller. */
-    void arrived(long nowNanos) {
+    /** Records a request of a caller for an object, whose key is empty if there is none. */
+    void arrived(String object, long nowNanos) {
         counted++;
         retries.request(nowNanos);
+        if (!object.isEmpty()) {
+            objects.put(object, nowNanos);
+        }
+    }
+
+    /** Returns the number of objects that callers asked for not long ago. */
+    int recentObjects(long nowNanos) {
+        objects.values().removeIf(seen -> nowNanos - seen > OBJECT_NANOS);
+        return objects.size();
     }
 
     /** Folds the requests since the last call into the mean rate. */
