--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -12,8 +12,8 @@
  * it, until these are busy. Times are monotonic nanoseconds. Not thread-safe.
  */
 public final class EndpointPicker {
-    /** Part of the cold rate that is used; the rate is a limit for all hosts together. */
-    private static final double COLD_RATE_PART = 0.8;
+    /** Part of the cold rate that one host uses: hosts that are cut off from each other each believe to be the one. */
+    private static final double COLD_RATE_PART = 0.5;
 
     /** Wait that is accepted to keep a large answer in the zone, where its bytes cost nothing. */
     private static final double LARGE_OTHER_ZONE_MILLIS = 60;
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -16,8 +16,8 @@
     /** Objects remembered for an endpoint; endpoints remember a few dozen. */
     public static final int REMEMBERED_OBJECTS = 24;
 
-    /** Requests that may be sent to a cold endpoint at once; the limit of the platform has more slack than this. */
-    private static final double COLD_BURST = 2;
+    /** Requests that may be sent to a cold endpoint at once. */
+    private static final double COLD_BURST = 1;
 
     private EndpointEntry entry;
     private int inFlight;
--- /dev/null
+++ b/decisions/src/test/java/io/carawaylift/decisions/fleet/SharedRetryBudgetTest.java
@@ -0,0 +1,75 @@
+package io.carawaylift.decisions.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+final class SharedRetryBudgetTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long WINDOW = 10 * SECOND;
+    private static final double RATIO = 0.2;
+    private static final double ALLOWANCE = 60;
+
+    /** Guards against repeats that together exceed the limit in some window although each host keeps its part. */
+    @Property(tries = 60)
+    void allHostsTogetherKeepTheLimitInEveryWindow(@ForAll long seed, @ForAll @IntRange(min = 1, max = 12) int hosts) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<SharedRetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            budgets.add(new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW));
+        }
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        long now = 0;
+        for (int i = 0; i < 4000; i++) {
+            boolean burst = now / (7 * SECOND) % 2 == 0;
+            now += random.nextLong(burst ? SECOND / 200 : SECOND / 20);
+            SharedRetryBudget budget = budgets.get(random.nextInt(hosts));
+            if (random.nextInt(2) == 0) {
+                budget.request(now);
+                requests.add(now);
+            }
+            if (budget.tryRepeat(hosts, now)) {
+                repeats.add(now);
+            }
+        }
+
+        for (long end = WINDOW; end <= now; end += SECOND / 4) {
+            long from = end - WINDOW;
+            assertThat((double) within(repeats, from, end)).isAtMost(RATIO * within(requests, from, end) + ALLOWANCE);
+        }
+    }
+
+    private static long within(List<Long> times, long from, long to) {
+        return times.stream().filter(time -> time > from && time <= to).count();
+    }
+
+    /** Guards against a budget that never recovers. */
+    @Test
+    void repeatsAreAllowedAgainAfterTheWindow() {
+        SharedRetryBudget budget = new SharedRetryBudget(0, 10, WINDOW);
+        int taken = 0;
+        while (budget.tryRepeat(1, 0)) {
+            taken++;
+        }
+
+        assertThat(taken).isAtLeast(1);
+        assertThat(budget.tryRepeat(1, WINDOW / 2)).isFalse();
+        assertThat(budget.tryRepeat(1, WINDOW + 1)).isTrue();
+    }
+
+    /** Guards against a reload that leaves old limits in force. */
+    @Test
+    void changedLimitsHoldAtOnce() {
+        SharedRetryBudget budget = new SharedRetryBudget(0, 10, WINDOW);
+        budget.setLimits(0, 0, WINDOW);
+
+        assertThat(budget.tryRepeat(1, 0)).isFalse();
+    }
+}
--- a/host/src/main/java/io/carawaylift/host/CallerServer.java
+++ b/host/src/main/java/io/carawaylift/host/CallerServer.java
@@ -38,8 +38,8 @@
         this.handler = handler;
     }
 
-    /** Starts to accept; called from outside the event loop. */
-    void start(InetSocketAddress address) {
+    /** Starts to accept and returns the address in use; called from outside the event loop. */
+    InetSocketAddress start(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop.netty())
                 .channel(NioServerSocketChannel.class)
@@ -58,6 +58,7 @@
             throw new CarawayliftException(ResultCode.NETWORK_FAILED, "cannot bind " + address, bound.cause());
         }
         listening = bound.channel();
+        return (InetSocketAddress) listening.localAddress();
     }
 
     private void configure(Channel channel) {
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -16,7 +16,6 @@
 import io.carawaylift.peer.Message;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -24,7 +23,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Supplier;
 
 /** Starts the work on callers' requests and holds what the requests share. Used on the event loop only. */
 final class Forwarder implements CallerConnection.Handler {
@@ -48,7 +46,7 @@
     private final Fleet fleet;
     private final EndpointPool pool;
     private final EndpointPicker picker;
-    private final Supplier<Collection<Message.HostReport>> others;
+    private final Members members;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
     private final Map<String, Double> regionDelays = new HashMap<>();
@@ -64,7 +62,7 @@
             Beliefs beliefs,
             Fleet fleet,
             EndpointPool pool,
-            Supplier<Collection<Message.HostReport>> others) {
+            Members members) {
         this.options = options;
         this.limits = options.limits();
         this.loop = loop;
@@ -73,7 +71,7 @@
         this.beliefs = beliefs;
         this.fleet = fleet;
         this.pool = pool;
-        this.others = others;
+        this.members = members;
         this.picker = new EndpointPicker(fleet, options.host().failureDomain());
         this.regions = new LinkedHashSet<>(options.regionsByZone().values());
     }
@@ -177,7 +175,7 @@
 
     /** Returns the number of hosts that share limits with this one, itself included. */
     int hosts() {
-        return others.get().size() + 1;
+        return members.listedHosts();
     }
 
     /** Returns the cold rate of a service. */
@@ -190,8 +188,11 @@
 
     /** Returns whether this host is the one that sends to a cold endpoint: the first of the living by hash. */
     boolean mayWarm(EndpointEntry endpoint) {
+        if (!members.isSettled()) {
+            return false;
+        }
         long own = Rendezvous.weight(endpoint.id(), options.host().id());
-        for (Message.HostReport other : others.get()) {
+        for (Message.HostReport other : members.alive()) {
             if (other.takesRequests() && Rendezvous.weight(endpoint.id(), other.host()) > own) {
                 return false;
             }
@@ -225,7 +226,7 @@
             each.updateRate(now);
             Map<String, Double> demand = new TreeMap<>();
             demand.merge(ownRegion(), each.busySlots(), Double::sum);
-            for (Message.HostReport other : others.get()) {
+            for (Message.HostReport other : members.alive()) {
                 demand.merge(other.region(), other.busySlots().getOrDefault(service, 0.0), Double::sum);
             }
             each.shares().update(usableSlots(service, now), demand, mostAtHome(service, each, now), now);
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -45,6 +45,9 @@
     private final CallerServer callers;
     private final Lookups lookups;
     private final long startedMillis = System.currentTimeMillis();
+    private InetSocketAddress callerAddress;
+    private InetSocketAddress readinessAddress;
+    private InetSocketAddress lookupAddress;
     private boolean stopping;
 
     HostService(HostOptions options, EventLog log, SettingsFile settings) {
@@ -56,9 +59,9 @@
         this.beliefs = new Beliefs(fleet, store, loop, log, options.regionsByZone());
         this.members = new Members(options, store, loop, log, this::report);
         this.pool = new EndpointPool(loop, metrics);
-        this.forwarder = new Forwarder(options, loop, log, metrics, beliefs, fleet, pool, members::alive);
+        this.forwarder = new Forwarder(options, loop, log, metrics, beliefs, fleet, pool, members);
         this.callers = new CallerServer(loop, this::callerLimits, forwarder);
-        this.lookups = new Lookups(options, this::takesRequests, members::alive);
+        this.lookups = new Lookups(this::report, members::alive);
         beliefs.onUnusable(forwarder::unusable);
         beliefs.onChange(forwarder::offerRoom);
         metrics.gauge("carawaylift.requests.open", forwarder::openRequests);
@@ -70,9 +73,9 @@
 
     @Override
     public void start() {
-        callers.start(options.callers());
-        new PageServer(loop, lookups::readiness).start(options.readiness());
-        new PageServer(loop, lookups::lookup).start(options.lookups());
+        callerAddress = callers.start(options.callers());
+        readinessAddress = new PageServer(loop, lookups::readiness).start(options.readiness());
+        lookupAddress = new PageServer(loop, lookups::lookup).start(options.lookups());
         new PageServer(loop, this::metricsPage)
                 .start(new InetSocketAddress(options.host().address(), options.metricsPort()));
         loop.await(() -> {
@@ -84,7 +87,7 @@
         });
         log.event(
                 "started",
-                line -> line.put("zone", options.host().failureDomain()).put("callers", Lookups.address(options)));
+                line -> line.put("zone", options.host().failureDomain()).put("callers", text(callerAddress)));
     }
 
     private void reloadIfChanged() {
@@ -131,17 +134,36 @@
         log.close();
     }
 
+    /** Returns the address for callers' requests; known after the start. */
+    InetSocketAddress callerAddress() {
+        return callerAddress;
+    }
+
+    /** Returns the address for questions whether the host takes requests; known after the start. */
+    InetSocketAddress readinessAddress() {
+        return readinessAddress;
+    }
+
+    /** Returns the address for look-ups; known after the start. */
+    InetSocketAddress lookupAddress() {
+        return lookupAddress;
+    }
+
     private Message.HostReport report() {
         return new Message.HostReport(
                 options.host().id(),
                 options.host().region(),
                 options.host().failureDomain(),
                 startedMillis,
-                Lookups.address(options),
+                text(callerAddress),
                 takesRequests(),
                 forwarder.busySlots());
     }
 
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     private boolean takesRequests() {
         return !stopping && beliefs.complete();
     }
--- a/host/src/main/java/io/carawaylift/host/Lookups.java
+++ b/host/src/main/java/io/carawaylift/host/Lookups.java
@@ -7,8 +7,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
-import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /** Answers callers that ask which hosts to connect to, and the platform that asks whether the host takes requests. */
@@ -20,13 +18,12 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
-    private final HostOptions options;
-    private final BooleanSupplier takesRequests;
+    private final Supplier<Message.HostReport> own;
     private final Supplier<Collection<Message.HostReport>> others;
 
-    Lookups(HostOptions options, BooleanSupplier takesRequests, Supplier<Collection<Message.HostReport>> others) {
-        this.options = options;
-        this.takesRequests = takesRequests;
+    /** Creates look-ups; the suppliers return this host's report and the newest reports of the other hosts that live. */
+    Lookups(Supplier<Message.HostReport> own, Supplier<Collection<Message.HostReport>> others) {
+        this.own = own;
         this.others = others;
     }
 
@@ -37,7 +34,7 @@
             return PageServer.Page.NOT_FOUND;
         }
         List<String> asked = query.parameters().getOrDefault(CallerInterface.REGION_PARAMETER, List.of());
-        List<String> addresses = addresses(asked.isEmpty() ? options.host().region() : asked.get(0));
+        List<String> addresses = addresses(asked.isEmpty() ? own.get().region() : asked.get(0));
         if (addresses.isEmpty()) {
             return new PageServer.Page(UNAVAILABLE, "application/json", "");
         }
@@ -47,50 +44,27 @@
     /** Returns the page for a question whether the host takes requests. */
     PageServer.Page readiness(String target) {
         boolean asked = target.startsWith(CallerInterface.READINESS_PATH);
-        int status = asked && takesRequests.getAsBoolean() ? OK : UNAVAILABLE;
+        int status = asked && own.get().takesRequests() ? OK : UNAVAILABLE;
         return new PageServer.Page(status, "application/json", "");
     }
 
     /** Returns the hosts of the region that take requests, or those of all regions if the region has none. */
     List<String> addresses(String region) {
+        List<Message.HostReport> hosts = new ArrayList<>(others.get());
+        hosts.add(own.get());
         List<String> near = new ArrayList<>();
         List<String> all = new ArrayList<>();
-        add(own(), region, near, all);
-        for (Message.HostReport other : others.get()) {
-            if (other.takesRequests()) {
-                add(Optional.of(other), region, near, all);
+        for (Message.HostReport host : hosts) {
+            if (!host.takesRequests()) {
+                continue;
+            }
+            all.add(host.callerAddress());
+            if (host.region().equals(region)) {
+                near.add(host.callerAddress());
             }
         }
         List<String> chosen = near.isEmpty() ? all : near;
         Collections.sort(chosen);
         return chosen.subList(0, Math.min(MAX_ADDRESSES, chosen.size()));
     }
-
-    private Optional<Message.HostReport> own() {
-        if (!takesRequests.getAsBoolean()) {
-            return Optional.empty();
-        }
-        return Optional.of(new Message.HostReport(
-                options.host().id(),
-                options.host().region(),
-                options.host().failureDomain(),
-                0,
-                address(options),
-                true,
-                java.util.Map.of()));
-    }
-
-    static String address(HostOptions options) {
-        return options.callers().getHostString() + ":" + options.callers().getPort();
-    }
-
-    private static void add(Optional<Message.HostReport> host, String region, List<String> near, List<String> all) {
-        if (host.isEmpty()) {
-            return;
-        }
-        all.add(host.get().callerAddress());
-        if (host.get().region().equals(region)) {
-            near.add(host.get().callerAddress());
-        }
-    }
 }
--- a/host/src/main/java/io/carawaylift/host/Members.java
+++ b/host/src/main/java/io/carawaylift/host/Members.java
@@ -37,6 +37,7 @@
     private static final Duration PING_INTERVAL = Duration.ofSeconds(1);
     private static final Duration READ_TIMEOUT = Duration.ofMillis(1600);
     private static final long REGISTER_AGAIN_MILLIS = 1000;
+    private static final int CONFLICT = 409;
 
     private final HostOptions options;
     private final ObjectStore store;
@@ -49,7 +50,10 @@
     private final Map<String, Connection> inbound = new HashMap<>();
     private final Map<String, Heard> heard = new HashMap<>();
     private final Map<String, Long> revisions = new HashMap<>();
+    private int port;
     private boolean registered;
+    private long listedNanos;
+    private boolean listed;
     private Runnable onChange = () -> {};
 
     private record Heard(Message.HostReport report, long nanos) {}
@@ -74,7 +78,7 @@
     }
 
     void start() {
-        network.listen(options.host().address(), options.peerPort(), hello(), new Reports());
+        port = network.listen(options.host().address(), options.peerPort(), hello(), new Reports());
         watcher.start();
         loop.every(REPORT_MILLIS, this::report);
     }
@@ -109,11 +113,19 @@
         return alive;
     }
 
-    /** Returns the number of hosts that are listed, at least one; includes hosts that may be gone. */
+    /**
+     * Returns the number of hosts that share limits with this one, itself included. Hosts that are listed count although they
+     * may be gone, because a host that is cut off must not take the others' part.
+     */
     int listedHosts() {
         return Math.max(1, Math.max(revisions.size(), alive().size() + 1));
     }
 
+    /** Returns whether the other hosts have had time to report since this one knows their addresses. */
+    boolean isSettled() {
+        return listed && System.nanoTime() - listedNanos > STALE_NANOS;
+    }
+
     private Message.Hello hello() {
         return new Message.Hello(
                 "host",
@@ -128,7 +140,7 @@
     private ObjectNode entry() {
         return JsonNodeFactory.instance
                 .objectNode()
-                .put("address", options.host().address() + ":" + options.peerPort());
+                .put("address", options.host().address() + ":" + port);
     }
 
     /** Writes the own entry if it is missing or names another address. */
@@ -150,8 +162,6 @@
         });
     }
 
-    private static final int CONFLICT = 409;
-
     private void registerUnlessListed() {
         if (!registered) {
             register();
@@ -192,6 +202,10 @@
 
         @Override
         public void synchronizedWithStore() {
+            if (!listed) {
+                listed = true;
+                listedNanos = System.nanoTime();
+            }
             registerUnlessListed();
         }
     }
--- a/host/src/main/java/io/carawaylift/host/PageServer.java
+++ b/host/src/main/java/io/carawaylift/host/PageServer.java
@@ -48,8 +48,8 @@
         this.pages = pages;
     }
 
-    /** Starts to accept; called from outside the event loop. */
-    void start(InetSocketAddress address) {
+    /** Starts to accept and returns the address in use; called from outside the event loop. */
+    InetSocketAddress start(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop.netty())
                 .channel(NioServerSocketChannel.class)
@@ -71,6 +71,7 @@
         if (!bound.isSuccess()) {
             throw new CarawayliftException(ResultCode.NETWORK_FAILED, "cannot bind " + address, bound.cause());
         }
+        return (InetSocketAddress) bound.channel().localAddress();
     }
 
     private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
