--- a/host/src/main/java/io/carawaylift/host/Beliefs.java
+++ b/host/src/main/java/io/carawaylift/host/Beliefs.java
@@ -27,6 +27,7 @@
     private static final long RETURN_OF_ENTRIES_MILLIS = 2000;
 
     private final Fleet fleet;
+    private final StoreRetries retries;
     private final HostLoop loop;
     private final EventLog log;
     private final EndpointDecoder endpoints;
@@ -39,15 +40,22 @@
     private boolean endpointsKnown;
     private boolean evacuationsKnown;
 
-    Beliefs(Fleet fleet, ObjectStore store, HostLoop loop, EventLog log, Map<String, String> regionsByZone) {
+    Beliefs(
+            Fleet fleet,
+            ObjectStore store,
+            StoreRetries retries,
+            HostLoop loop,
+            EventLog log,
+            Map<String, String> regionsByZone) {
+        this.retries = retries;
         this.fleet = fleet;
         this.loop = loop;
         this.log = log;
         this.endpoints = new EndpointDecoder(regionsByZone);
         this.watchers = List.of(
-                new KindWatcher(StoreKinds.CONFIGURATIONS, store, loop, log, new Configurations()),
-                new KindWatcher(StoreKinds.ENDPOINTS, store, loop, log, new Endpoints()),
-                new KindWatcher(StoreKinds.EVACUATED_ZONES, store, loop, log, new Evacuations()));
+                new KindWatcher(StoreKinds.CONFIGURATIONS, store, retries, loop, log, new Configurations()),
+                new KindWatcher(StoreKinds.ENDPOINTS, store, retries, loop, log, new Endpoints()),
+                new KindWatcher(StoreKinds.EVACUATED_ZONES, store, retries, loop, log, new Evacuations()));
     }
 
     /** Sets what is done when an endpoint is no longer to be used. */
@@ -154,7 +162,9 @@
             if (storeWasAway) {
                 removals.put(
                         name,
-                        loop.after(RETURN_OF_ENTRIES_MILLIS, () -> remove(name, "not back after the store returned")));
+                        loop.after(
+                                RETURN_OF_ENTRIES_MILLIS - retries.millisSinceReturn(),
+                                () -> remove(name, "not back after the store returned")));
             } else {
                 remove(name, "deleted");
             }
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -56,8 +56,9 @@
         this.log = log;
         this.loop = new HostLoop(group.next(), log);
         this.store = new ObjectStore(new StoreConnections(loop, options.store(), metrics), STORE_CALL_TIMEOUT);
-        this.beliefs = new Beliefs(fleet, store, loop, log, options.regionsByZone());
-        this.members = new Members(options, store, loop, log, this::report);
+        StoreRetries retries = new StoreRetries(loop);
+        this.beliefs = new Beliefs(fleet, store, retries, loop, log, options.regionsByZone());
+        this.members = new Members(options, store, retries, loop, log, this::report);
         this.pool = new EndpointPool(loop, metrics);
         this.forwarder = new Forwarder(options, loop, log, metrics, beliefs, fleet, pool, members);
         this.callers = new CallerServer(loop, this::callerLimits, forwarder);
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletionException;
 
 /**
@@ -25,17 +24,13 @@
     /** Pause before the next watch after changes, so that changes that come together cost one call. */
     private static final long COALESCE_MILLIS = 150;
 
-    private static final long FIRST_PAUSE_MILLIS = 150;
-    private static final long LONGEST_PAUSE_MILLIS = 1000;
-
     private final String kind;
     private final ObjectStore store;
     private final HostLoop loop;
     private final EventLog log;
     private final Listener listener;
-    private final SplittableRandom random = new SplittableRandom();
+    private final StoreRetries retries;
     private final Map<String, Long> revisions = new HashMap<>();
-    private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long revision;
     private boolean available = true;
     private boolean stopped;
@@ -52,9 +47,10 @@
         void synchronizedWithStore();
     }
 
-    KindWatcher(String kind, ObjectStore store, HostLoop loop, EventLog log, Listener listener) {
+    KindWatcher(String kind, ObjectStore store, StoreRetries retries, HostLoop loop, EventLog log, Listener listener) {
         this.kind = kind;
         this.store = store;
+        this.retries = retries;
         this.loop = loop;
         this.log = log;
         this.listener = listener;
@@ -91,7 +87,7 @@
         loop.handle(store.list(kind, after), (page, failure) -> {
             if (failure != null) {
                 failed(failure);
-                retryLater(this::list);
+                retries.retryLater(this::list);
                 return;
             }
             succeeded();
@@ -141,7 +137,7 @@
                 list();
             } else {
                 failed(failure);
-                retryLater(this::watch);
+                retries.retryLater(this::watch);
             }
         });
     }
@@ -172,7 +168,7 @@
     }
 
     private void succeeded() {
-        pauseMillis = FIRST_PAUSE_MILLIS;
+        retries.succeeded();
         if (!available) {
             available = true;
             log.event(
@@ -192,12 +188,6 @@
         }
     }
 
-    private void retryLater(Runnable action) {
-        long pause = pauseMillis / 2 + random.nextLong(pauseMillis);
-        pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
-        loop.after(pause, action);
-    }
-
     private static Throwable cause(Throwable failure) {
         return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
     }
--- a/host/src/main/java/io/carawaylift/host/Members.java
+++ b/host/src/main/java/io/carawaylift/host/Members.java
@@ -61,6 +61,7 @@
     Members(
             HostOptions options,
             ObjectStore store,
+            StoreRetries retries,
             HostLoop loop,
             EventLog log,
             Supplier<Message.HostReport> ownReport) {
@@ -74,7 +75,7 @@
                 .readTimeout(READ_TIMEOUT)
                 .seed(Rendezvous.weight(options.host().id(), ""))
                 .build();
-        this.watcher = new KindWatcher(StoreKinds.HOSTS, store, loop, log, new Entries());
+        this.watcher = new KindWatcher(StoreKinds.HOSTS, store, retries, loop, log, new Entries());
     }
 
     void start() {
--- a/host/src/main/java/io/carawaylift/host/StoreConnections.java
+++ b/host/src/main/java/io/carawaylift/host/StoreConnections.java
@@ -18,7 +18,8 @@
 
 /** Sends calls to the store over connections that are kept between calls. Used on the event loop only. */
 final class StoreConnections implements StoreTransport {
-    private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+    /** Several round trips between regions. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     private final HostLoop loop;
     private final InetSocketAddress address;
