Spill to an object's next endpoints in order and charge for work on objects that are not remembered

Cause: a busy endpoint passed its objects to whichever endpoint was least busy, so in overload most work was on objects that are not remembered and took 3.3 times as long.

--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -18,6 +18,12 @@
     /** Wait that is accepted to keep a large answer in the zone, where its bytes cost nothing. */
     private static final double LARGE_OTHER_ZONE_MILLIS = 60;
 
+    /** Part of the longer work on an object that is not remembered which counts as a cost to the requests behind it. */
+    private static final double OTHERS_PART = 0.5;
+
+    /** Part of a request's work by which an endpoint is avoided for each place behind the first of an object's order. */
+    private static final double RANK_PART = 0.15;
+
     private final Fleet fleet;
     private final String ownZone;
 
@@ -69,7 +75,10 @@
         for (int rank = 0; rank < candidates.size(); rank++) {
             EndpointStatus status = candidates.get(rank);
             Choice choice = estimate(status, need, rank, times, nowNanos);
-            double cost = choice.workMillis() + choice.waitMillis() + wayMillis(status, need) + rank * 0.01;
+            double cost = choice.workMillis()
+                    + choice.waitMillis()
+                    + wayMillis(status, need)
+                    + spreadMillis(choice, rank, times);
             if (cost < least) {
                 least = cost;
                 best = choice;
@@ -107,6 +116,13 @@
         return new Choice(status, remembered, work, wait);
     }
 
+    /** Returns what the choice costs later requests: the endpoint works longer now and remembers another object less. */
+    private static double spreadMillis(Choice choice, int rank, WorkTimes times) {
+        double remembered = times.expected(true);
+        double longer = choice.remembered() ? 0 : times.expected(false) - remembered;
+        return OTHERS_PART * longer + RANK_PART * rank * remembered;
+    }
+
     private double wayMillis(EndpointStatus status, Need need) {
         boolean sameZone = status.entry().zone().equals(ownZone);
         return !sameZone && need.large() ? LARGE_OTHER_ZONE_MILLIS : 0;
