Refuse earlier what cannot be in time

Cause: in overload the endpoints' queues were full of requests that were late already; their rejections took the shared retry budget and their work the slots of requests that could be in time.

--- a/host/src/main/java/io/carawaylift/host/Exchange.java
+++ b/host/src/main/java/io/carawaylift/host/Exchange.java
@@ -38,10 +38,10 @@
     private static final double HOLD_PART = 0.125;
 
     /** Part of the timeout after which a request that found no room is refused; its caller can still come back in time. */
-    private static final double MAX_HOLD_PART = 0.35;
+    private static final double MAX_HOLD_PART = 0.15;
 
     /** Part of the timeout within which an answer must be expected for a request that can no longer be in time. */
-    private static final double LATE_PART = 0.8;
+    private static final double LATE_PART = 0.45;
 
     /** An endpoint ends its work at the deadline and says so; its answer is given this long to arrive. */
     private static final long ANSWER_GRACE_MILLIS = 150;
