--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -21,7 +21,6 @@
 
     private EndpointEntry entry;
     private int inFlight;
-    private int connections;
     private double othersLoad;
     private long othersSeenNanos;
     private long coldUntilNanos;
@@ -127,14 +126,4 @@
     boolean remembers(String object) {
         return objects.containsKey(object);
     }
-
-    /** Records a connection opened (1) or closed (-1) by this host. */
-    public void connectionsChanged(int change) {
-        connections += change;
-    }
-
-    /** Returns the open connections of this host. */
-    public int connections() {
-        return connections;
-    }
 }
--- a/host/src/main/java/io/carawaylift/host/EndpointPool.java
+++ b/host/src/main/java/io/carawaylift/host/EndpointPool.java
@@ -24,13 +24,11 @@
     }
 
     /** Passes on an idle or a new connection, or null and the reason why there is none. */
-    void acquire(EndpointStatus endpoint, boolean onlyNew, BiConsumer<OutboundConnection, String> result) {
-        if (!onlyNew) {
-            OutboundConnection connection = takeIdle(endpoint);
-            if (connection != null) {
-                result.accept(connection, null);
-                return;
-            }
+    void acquire(EndpointStatus endpoint, BiConsumer<OutboundConnection, String> result) {
+        OutboundConnection kept = takeIdle(endpoint);
+        if (kept != null) {
+            result.accept(kept, null);
+            return;
         }
         metrics.count(
                 "carawaylift.endpoint.connections", "service", endpoint.entry().service());
@@ -38,11 +36,7 @@
                 new InetSocketAddress(endpoint.entry().host(), endpoint.entry().port());
         OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, (connection, reason) -> {
             if (connection != null) {
-                endpoint.connectionsChanged(1);
-                connection.onClose(() -> {
-                    endpoint.connectionsChanged(-1);
-                    forget(endpoint, connection);
-                });
+                connection.onClose(() -> forget(endpoint, connection));
             }
             result.accept(connection, reason);
         });
--- a/host/src/main/java/io/carawaylift/host/Exchange.java
+++ b/host/src/main/java/io/carawaylift/host/Exchange.java
@@ -240,9 +240,7 @@
         endpoint.sent(object, now);
         forwarder.fleet().health().tried(endpointId, now);
         inFlightAt = endpoint;
-        // A connection that was closed by the other side in the meantime leaves it open whether the request ran.
-        boolean onlyNew = false;
-        forwarder.pool().acquire(endpoint, onlyNew, (connection, reason) -> {
+        forwarder.pool().acquire(endpoint, (connection, reason) -> {
             if (connection != null && !connection.isUsed()) {
                 forwarder.connected(endpoint.entry().region(), (System.nanoTime() - now) / NANOS_PER_MILLI);
             }
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -26,10 +26,10 @@
 
 /** Starts the work on callers' requests and holds what the requests share. Used on the event loop only. */
 final class Forwarder implements CallerConnection.Handler {
-    /** Part of a region's slots that stays free before requests go to another region. */
+    /** Part of a region's slots up to which requests stay in the region; the rest absorbs short bursts. */
     private static final double FULL_UTILIZATION = 0.75;
 
-    /** Windows of two seconds are compared, so a steady change shows twice in them; the rest is room for chance. */
+    /** Windows of two seconds are compared, in which a steady change shows twice; the other half is room for chance. */
     private static final double SHIFT_PART_PER_SECOND = 0.25;
 
     /** Part of the memory of a region's endpoints that is planned for: hashing fills them unevenly. */
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -66,6 +66,9 @@
         beliefs.onUnusable(forwarder::unusable);
         beliefs.onChange(forwarder::offerRoom);
         metrics.gauge("carawaylift.requests.open", forwarder::openRequests);
+        metrics.gauge("carawaylift.callers.connections", callers::openConnections);
+        metrics.gauge("carawaylift.endpoints", () -> fleet.all().size());
+        metrics.gauge("carawaylift.hosts.alive", () -> members.alive().size() + 1);
         metrics.gauge(
                 "carawaylift.configuration.version",
                 () -> beliefs.table().map(RouteTable::version).orElse(0L));
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -66,16 +66,6 @@
         stopped = true;
     }
 
-    /** Returns whether the last call succeeded. */
-    boolean isAvailable() {
-        return available;
-    }
-
-    /** Returns the store's revision up to which changes are known, 0 before the first list. */
-    long revision() {
-        return revision;
-    }
-
     private void list() {
         list("", 0, new ArrayList<>());
     }
