--- a/host/src/main/java/io/carawaylift/host/Exchange.java
+++ b/host/src/main/java/io/carawaylift/host/Exchange.java
@@ -436,7 +436,7 @@
             // Closing would leave a confirmation half done; its answer is dropped.
             inFlight = null;
         }
-        end(ResultCode.CANCELLED_IN_QUEUE, 0, "the caller left");
+        end(mayHaveRun ? ResultCode.CALLER_LEFT : ResultCode.CANCELLED_IN_QUEUE, 0, "the caller left");
     }
 
     private void deliver(EndpointStatus endpoint, OutboundAnswer answer) {
--- a/model/src/main/java/io/carawaylift/model/ResultCode.java
+++ b/model/src/main/java/io/carawaylift/model/ResultCode.java
@@ -31,6 +31,7 @@
     ENTRY_GONE(302, 502, Outcome.UNKNOWN, "The entry process named by the ticket cannot be asked."),
     TICKET_EXPIRED(303, 409, Outcome.UNKNOWN, "The ticket is older than the ledger keeps outcomes."),
     ANSWER_CUT(304, 502, Outcome.UNKNOWN, "The upstream's answer broke off."),
+    CALLER_LEFT(305, 499, Outcome.UNKNOWN, "The caller left after the request was sent."),
 
     TABLE_INVALID(400, 422, Outcome.NOT_A_REQUEST, "The table breaks a rule; each row and column is named."),
     VERSION_CONFLICT(401, 412, Outcome.NOT_A_REQUEST, "Another change was accepted first; the difference is shown."),
