--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -40,7 +40,8 @@
                 new Message.RecordsComplete(),
                 new Message.StoreDigest(-5, true),
                 new Message.StoreVersions(Map.of("table", 3L), true, false),
-                new Message.RecordRequest(List.of("table")));
+                new Message.RecordRequest(List.of("table")),
+                new Message.HostReport("host-1", "r", "d", 7L, "10.0.0.1:80", true, Map.of("service", 1.5)));
     }
 
     @ParameterizedTest
