Let one host of a region follow the store and report through relays

Cause: every host watched every kind and reported to every other host several times a second. Calls to the store and messages grew with the hosts and with their square, and a host that started while the store was away had no configuration.

Change: hosts report to the first two living hosts of their region in an order derived from the names; these answer with the living hosts of all regions. The first of them follows the store and passes every change on with a digest of what it knows; the others follow it while the digests agree and its last confirmation is younger than 1.5 s, else they watch the store themselves. A host that cannot list the store asks the others. The permission to warm a cold endpoint belongs to the first living host of the endpoint's region.

--- /dev/null
+++ b/decisions/src/main/java/io/carawaylift/decisions/replica/ObjectTable.java
@@ -0,0 +1,98 @@
+package io.carawaylift.decisions.replica;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The newest known version of each object of one kind. Changes may arrive twice and out of order, from the platform and from
+ * other hosts; a version that is older than what is known, also of a deletion, changes nothing. Not thread-safe.
+ *
+ * @param <T> value of an object
+ */
+public final class ObjectTable<T> {
+    /** Deleted objects that are remembered; names are rarely used again, and late messages arrive within seconds. */
+    private static final int REMEMBERED_DELETIONS = 4096;
+
+    /**
+     * One version of an object.
+     *
+     * @param revision rises with every change of the object, also when it is created again
+     */
+    public record Version<T>(String name, long revision, T value) {}
+
+    private final Map<String, Version<T>> objects = new HashMap<>();
+    private final Map<String, Long> deletions = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > REMEMBERED_DELETIONS;
+        }
+    };
+    private long digest;
+
+    /** Creates an empty table. */
+    public ObjectTable() {}
+
+    /** Takes a version of an object; returns whether it is newer than what was known. */
+    public boolean put(String name, long revision, T value) {
+        Version<T> known = objects.get(name);
+        long newest = known == null ? deletions.getOrDefault(name, Long.MIN_VALUE) : known.revision();
+        if (revision <= newest) {
+            return false;
+        }
+        if (known != null) {
+            digest -= Digest64.of(name, known.revision());
+        }
+        digest += Digest64.of(name, revision);
+        objects.put(name, new Version<>(name, revision, value));
+        deletions.remove(name);
+        return true;
+    }
+
+    /**
+     * Takes a deletion; returns whether the object was known and is gone now.
+     *
+     * @param revision revision of the version that was deleted, or a later one
+     */
+    public boolean delete(String name, long revision) {
+        Version<T> known = objects.get(name);
+        if (known == null) {
+            deletions.merge(name, revision, Math::max);
+            return false;
+        }
+        if (known.revision() > revision) {
+            return false;
+        }
+        objects.remove(name);
+        digest -= Digest64.of(name, known.revision());
+        deletions.put(name, revision);
+        return true;
+    }
+
+    /** Returns the objects that are not among the given names, such as those that a new list of all lacks. */
+    public List<Version<T>> without(Set<String> names) {
+        List<Version<T>> others = new ArrayList<>();
+        for (Version<T> each : objects.values()) {
+            if (!names.contains(each.name())) {
+                others.add(each);
+            }
+        }
+        return others;
+    }
+
+    /** Returns the newest version of each object. */
+    public Collection<Version<T>> all() {
+        return List.copyOf(objects.values());
+    }
+
+    /** Returns a 64-bit digest of all names and revisions; equal tables have equal digests. */
+    public long digest() {
+        return digest;
+    }
+}
--- a/host/src/main/java/io/carawaylift/host/Beliefs.java
+++ b/host/src/main/java/io/carawaylift/host/Beliefs.java
@@ -23,11 +23,7 @@
  * loop only.
  */
 final class Beliefs {
-    /** Entries that expired while the store was away are back this long after its return, if their endpoints live. */
-    private static final long RETURN_OF_ENTRIES_MILLIS = 2000;
-
     private final Fleet fleet;
-    private final StoreRetries retries;
     private final HostLoop loop;
     private final EventLog log;
     private final EndpointDecoder endpoints;
@@ -44,18 +40,18 @@
             Fleet fleet,
             ObjectStore store,
             StoreRetries retries,
+            StoreRelay relay,
             HostLoop loop,
             EventLog log,
             Map<String, String> regionsByZone) {
-        this.retries = retries;
         this.fleet = fleet;
         this.loop = loop;
         this.log = log;
         this.endpoints = new EndpointDecoder(regionsByZone);
         this.watchers = List.of(
-                new KindWatcher(StoreKinds.CONFIGURATIONS, store, retries, loop, log, new Configurations()),
-                new KindWatcher(StoreKinds.ENDPOINTS, store, retries, loop, log, new Endpoints()),
-                new KindWatcher(StoreKinds.EVACUATED_ZONES, store, retries, loop, log, new Evacuations()));
+                new KindWatcher(StoreKinds.CONFIGURATIONS, store, retries, relay, loop, log, new Configurations()),
+                new KindWatcher(StoreKinds.ENDPOINTS, store, retries, relay, loop, log, new Endpoints()),
+                new KindWatcher(StoreKinds.EVACUATED_ZONES, store, retries, relay, loop, log, new Evacuations()));
     }
 
     /** Sets what is done when an endpoint is no longer to be used. */
@@ -117,7 +113,7 @@
         }
 
         @Override
-        public void deleted(String name, boolean storeWasAway) {
+        public void deleted(String name, long graceMillis) {
             log.event("configuration.deleted", line -> line.put("name", name));
         }
 
@@ -158,13 +154,9 @@
         }
 
         @Override
-        public void deleted(String name, boolean storeWasAway) {
-            if (storeWasAway) {
-                removals.put(
-                        name,
-                        loop.after(
-                                RETURN_OF_ENTRIES_MILLIS - retries.millisSinceReturn(),
-                                () -> remove(name, "not back after the store returned")));
+        public void deleted(String name, long graceMillis) {
+            if (graceMillis > 0) {
+                removals.put(name, loop.after(graceMillis, () -> remove(name, "not back after the store returned")));
             } else {
                 remove(name, "deleted");
             }
@@ -205,7 +197,7 @@
         }
 
         @Override
-        public void deleted(String name, boolean storeWasAway) {
+        public void deleted(String name, long graceMillis) {
             if (evacuated.remove(name)) {
                 update(name, false);
             }
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -186,13 +186,13 @@
                 .orElse(1.0);
     }
 
-    /** Returns whether this host is the one that sends to a cold endpoint: the first of the living by hash. */
+    /** Returns whether this host is the one that sends to a cold endpoint: the first living one of its region by hash. */
     boolean mayWarm(EndpointEntry endpoint) {
-        if (!members.isSettled()) {
+        if (!members.isSettled() || !endpoint.region().equals(ownRegion())) {
             return false;
         }
         long own = Rendezvous.weight(endpoint.id(), options.host().id());
-        for (Message.HostReport other : members.alive()) {
+        for (Message.HostReport other : members.aliveInRegion()) {
             if (other.takesRequests() && Rendezvous.weight(endpoint.id(), other.host()) > own) {
                 return false;
             }
@@ -222,13 +222,11 @@
     /** Updates rates and the shares of regions. */
     void plan() {
         long now = System.nanoTime();
+        traffic.values().forEach(each -> each.updateRate(now));
+        Map<String, Map<String, Double>> busy = members.busySlots();
         traffic.forEach((service, each) -> {
-            each.updateRate(now);
             Map<String, Double> demand = new TreeMap<>();
-            demand.merge(ownRegion(), each.busySlots(), Double::sum);
-            for (Message.HostReport other : members.alive()) {
-                demand.merge(other.region(), other.busySlots().getOrDefault(service, 0.0), Double::sum);
-            }
+            busy.forEach((region, slots) -> demand.put(region, slots.getOrDefault(service, 0.0)));
             each.shares().update(usableSlots(service, now), demand, mostAtHome(service, each, now), now);
             each.offerRoom();
         });
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -5,6 +5,7 @@
 import io.carawaylift.decisions.route.RouteTable;
 import io.carawaylift.peer.Message;
 import io.carawaylift.platform.store.ObjectStore;
+import io.carawaylift.platform.store.StoreKinds;
 import io.carawaylift.runtime.Service;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -38,6 +39,7 @@
     private final HostLoop loop;
     private final Fleet fleet = new Fleet();
     private final ObjectStore store;
+    private final StoreRelay relay;
     private final Beliefs beliefs;
     private final Members members;
     private final EndpointPool pool;
@@ -57,8 +59,9 @@
         this.loop = new HostLoop(group.next(), log);
         this.store = new ObjectStore(new StoreConnections(loop, options.store(), metrics), STORE_CALL_TIMEOUT);
         StoreRetries retries = new StoreRetries(loop);
-        this.beliefs = new Beliefs(fleet, store, retries, loop, log, options.regionsByZone());
-        this.members = new Members(options, store, retries, loop, log, this::report);
+        this.relay = new StoreRelay(StoreKinds.ENDPOINTS);
+        this.beliefs = new Beliefs(fleet, store, retries, relay, loop, log, options.regionsByZone());
+        this.members = new Members(options, store, retries, relay, loop, log, this::report);
         this.pool = new EndpointPool(loop, metrics);
         this.forwarder = new Forwarder(options, loop, log, metrics, beliefs, fleet, pool, members);
         this.callers = new CallerServer(loop, this::callerLimits, forwarder);
@@ -68,6 +71,7 @@
         metrics.gauge("carawaylift.requests.open", forwarder::openRequests);
         metrics.gauge("carawaylift.callers.connections", callers::openConnections);
         metrics.gauge("carawaylift.endpoints", () -> fleet.all().size());
+        metrics.gauge("carawaylift.store.relay", () -> relay.isRelay() ? 1 : 0);
         metrics.gauge("carawaylift.hosts.alive", () -> members.alive().size() + 1);
         metrics.gauge(
                 "carawaylift.configuration.version",
@@ -153,6 +157,11 @@
         return lookupAddress;
     }
 
+    /** Returns the port for the other hosts; known after the start. */
+    int peerPort() {
+        return members.port();
+    }
+
     private Message.HostReport report() {
         return new Message.HostReport(
                 options.host().id(),
@@ -161,6 +170,7 @@
                 startedMillis,
                 text(callerAddress),
                 takesRequests(),
+                relay.reachesStore(),
                 forwarder.busySlots());
     }
 
--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -14,7 +14,10 @@
 final class HostFixture implements AutoCloseable {
     private static final long WAIT_NANOS = 15_000_000_000L;
 
-    private final SimulatedStore store = new SimulatedStore();
+    private final SimulatedStore store;
+    private final boolean ownsStore;
+    private final String id;
+    private final int peerPort;
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
     private final Path settingsPath = Files.createTempFile("host", ".toml");
@@ -28,10 +31,29 @@
     }
 
     HostFixture(double gracePeriodSeconds) throws IOException {
+        this(new SimulatedStore(), true, "host-1", gracePeriodSeconds, 0);
+    }
+
+    /** Starts another host with a store that it shares with others. */
+    HostFixture(SimulatedStore store, String id) throws IOException {
+        this(store, id, 0);
+    }
+
+    /** Starts another host with a store that it shares with others, and a port for these. */
+    HostFixture(SimulatedStore store, String id, int peerPort) throws IOException {
+        this(store, false, id, 0.2, peerPort);
+    }
+
+    private HostFixture(SimulatedStore store, boolean ownsStore, String id, double gracePeriodSeconds, int peerPort)
+            throws IOException {
+        this.peerPort = peerPort;
+        this.store = store;
+        this.ownsStore = ownsStore;
+        this.id = id;
         this.gracePeriodSeconds = gracePeriodSeconds;
         Files.writeString(settingsPath, settings(0.2));
         Settings settings = Settings.read(settingsPath);
-        EventLog log = new EventLog("host-1", lines);
+        EventLog log = new EventLog(id, lines);
         host = new HostService(
                 HostOptions.of(settings), log, new SettingsFile(settings.path(), settings.source(), log));
         host.start();
@@ -40,7 +62,7 @@
     private String settings(double retryRatio) {
         return """
                 [host]
-                id = "host-1"
+                id = "%s"
                 region = "region-a"
                 failure_domain = "zone-a"
                 address = "127.0.0.1"
@@ -48,7 +70,7 @@
                 callers = "127.0.0.1:0"
                 readiness = "127.0.0.1:0"
                 lookups = "127.0.0.1:0"
-                peer_port = 0
+                peer_port = %d
                 metrics_port = 0
                 [platform]
                 store = "%s"
@@ -59,7 +81,7 @@
                 grace_period_s = %s
                 retry_ratio = %s
                 retry_allowance = 60
-                """.formatted(store.address(), gracePeriodSeconds, retryRatio);
+                """.formatted(id, peerPort, store.address(), gracePeriodSeconds, retryRatio);
     }
 
     /** Changes the settings file while the host runs. */
@@ -131,6 +153,10 @@
         return store;
     }
 
+    int peerPort() {
+        return host.peerPort();
+    }
+
     HostService host() {
         return host;
     }
@@ -158,7 +184,9 @@
         for (ScriptedEndpoint endpoint : endpoints) {
             endpoint.close();
         }
-        store.close();
+        if (ownsStore) {
+            store.close();
+        }
         Files.deleteIfExists(settingsPath);
     }
 }
--- a/host/src/test/java/io/carawaylift/host/SimulatedStore.java
+++ b/host/src/test/java/io/carawaylift/host/SimulatedStore.java
@@ -31,6 +31,7 @@
     private long revision = 1;
     private long forgottenBefore;
     private int refuseWith;
+    private int calls;
 
     private record Event(long revision, String kind, ObjectNode object, boolean deleted) {}
 
@@ -75,6 +76,15 @@
         notifyAll();
     }
 
+    /** Returns the calls so far. */
+    synchronized int calls() {
+        return calls;
+    }
+
+    private synchronized void count() {
+        calls++;
+    }
+
     synchronized int objects(String kind) {
         return kinds.getOrDefault(kind, new TreeMap<>()).size();
     }
@@ -91,6 +101,7 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
+        count();
         try (exchange) {
             QueryStringDecoder target =
                     new QueryStringDecoder(exchange.getRequestURI().toString());
--- /dev/null
+++ b/host/src/test/java/io/carawaylift/host/StoreRelayTest.java
@@ -0,0 +1,134 @@
+package io.carawaylift.host;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Several hosts of one region and one store. */
+final class StoreRelayTest {
+    private static final int HOSTS = 4;
+
+    private final List<HostFixture> hosts = new ArrayList<>();
+    private SimulatedStore store;
+
+    @BeforeEach
+    void start() throws IOException {
+        store = new SimulatedStore();
+        for (int i = 1; i <= HOSTS; i++) {
+            hosts.add(new HostFixture(store, "host-" + i));
+        }
+        hosts.get(0).addEndpoint("e-1");
+        hosts.get(0).configure(1);
+        awaitInForce(1);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (HostFixture host : hosts) {
+            host.close();
+        }
+        store.close();
+    }
+
+    private void awaitInForce(int version) {
+        hosts.forEach(host -> host.awaitLine("configuration.in_force", "\"version\":" + version));
+    }
+
+    private void awaitFollowers(int followers) {
+        HostFixture.await(() -> hosts.stream().filter(this::followsAHost).count() == followers);
+    }
+
+    private boolean followsAHost(HostFixture host) {
+        String last = host.log()
+                .lines()
+                .filter(line -> line.contains("store.source") && line.contains("\"kind\":\"config\""))
+                .reduce("", (before, line) -> line);
+        return last.contains("\"source\":\"host\"");
+    }
+
+    private HostFixture relay() {
+        return hosts.stream().filter(host -> !followsAHost(host)).findFirst().orElseThrow();
+    }
+
+    /** Guards against calls to the store that grow with the hosts of a region. */
+    @Test
+    void oneHostOfTheRegionFollowsTheStoreForTheOthers() throws Exception {
+        awaitFollowers(HOSTS - 1);
+        // Watches that were sent before end with the next change of their kind.
+        for (int i = 2; i < 6; i++) {
+            hosts.get(0).configure(i);
+            hosts.get(0).addEndpoint("e-" + i);
+            awaitInForce(i);
+        }
+        int before = store.calls();
+        Thread.sleep(3000);
+
+        // The relay confirms once a second; the others make no call.
+        assertThat(store.calls() - before).isAtMost(6);
+    }
+
+    /** Guards against followers that miss changes once the relay is gone. */
+    @Test
+    void changesAreLearnedWithinTheTimeAllowedWhenTheRelayIsGone() throws IOException {
+        awaitFollowers(HOSTS - 1);
+        HostFixture relay = relay();
+        hosts.remove(relay);
+        relay.close();
+        long changed = System.nanoTime();
+        hosts.get(0).configure(7);
+        awaitInForce(7);
+
+        assertThat(System.nanoTime() - changed).isLessThan(2_500_000_000L);
+    }
+
+    /** Guards against a host that refuses everything because it started while the store was away. */
+    @Test
+    void aHostThatStartsWhileTheStoreIsAwayLearnsFromTheOthers() throws IOException {
+        awaitFollowers(HOSTS - 1);
+        HostFixture restarted = hosts.remove(HOSTS - 1);
+        restarted.close();
+        store.refuseWith(503);
+        hosts.get(0).awaitLine("dependency.lost", "\"store\"");
+        restarted = new HostFixture(store, "host-" + HOSTS, restarted.peerPort());
+        hosts.add(restarted);
+        restarted.awaitLine("configuration.in_force", "\"version\":1");
+        HostFixture host = restarted;
+        HostFixture.await(() -> {
+            try {
+                return host.readiness() == 200;
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        try (TestCaller caller = restarted.caller()) {
+            assertThat(caller.call("GET", "/safe/1", "id").status()).isEqualTo(200);
+        }
+    }
+
+    /** Guards against look-ups that name a host that is gone, or leave out one that lives. */
+    @Test
+    void lookupsNameTheLivingHosts() throws IOException {
+        HostFixture first = hosts.get(0);
+        HostFixture.await(() -> addresses(first).size() == HOSTS);
+        HostFixture stopped = hosts.remove(HOSTS - 1);
+        stopped.close();
+        HostFixture.await(() -> addresses(first).size() == HOSTS - 1);
+        assertThat(addresses(first).toString())
+                .doesNotContain(":" + stopped.host().callerAddress().getPort());
+    }
+
+    private static List<String> addresses(HostFixture host) {
+        try (TestCaller caller = new TestCaller(host.host().lookupAddress())) {
+            String body =
+                    caller.call("GET", "/v1/resolve?region=region-a", "none").body();
+            return List.of(body.replaceAll(".*\\[|\\].*", "").split(","));
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -125,6 +125,7 @@
      * @param startedMillis Unix milliseconds of the program's start; a higher one is a newer program
      * @param callerAddress {@code host:port} for callers' requests
      * @param takesRequests whether callers may be sent to the host
+     * @param reachesPlatform whether the host's last calls to the platform were answered
      * @param busySlots slots that the requests of the host's callers keep busy, by service
      */
     record HostReport(
@@ -134,10 +135,78 @@
             long startedMillis,
             String callerAddress,
             boolean takesRequests,
+            boolean reachesPlatform,
             Map<String, Double> busySlots)
             implements Message {
         public HostReport {
             busySlots = Map.copyOf(busySlots);
         }
     }
+
+    /**
+     * What a relay knows of the hosts of some regions.
+     *
+     * @param regions its own region, from the reports of the hosts, and others as their relays say
+     */
+    record RegionReports(List<RegionReport> regions) implements Message {
+        public RegionReports {
+            regions = List.copyOf(regions);
+        }
+    }
+
+    /**
+     * The living hosts of a region.
+     *
+     * @param hostsDigest tells whether the hosts changed since an earlier report of the same relay
+     * @param hosts reports without the busy slots of each host; null if an earlier report has the same digest
+     * @param busySlots slots that the requests of the region's callers keep busy, by service
+     */
+    record RegionReport(String region, long hostsDigest, List<HostReport> hosts, Map<String, Double> busySlots) {
+        public RegionReport {
+            hosts = hosts == null ? null : List.copyOf(hosts);
+            busySlots = Map.copyOf(busySlots);
+        }
+    }
+
+    /**
+     * Changes of objects of one kind that the sender learned from the platform.
+     *
+     * @param kind kind of the objects in the platform
+     */
+    record ObjectChanges(String kind, List<ObjectChange> changes) implements Message {
+        public ObjectChanges {
+            changes = List.copyOf(changes);
+        }
+    }
+
+    /**
+     * A new version of an object, or its end.
+     *
+     * @param revision revision of the version, or of the last one of a deleted object
+     * @param graceMillis for a deleted object the time for which it may still return, because the platform was away
+     * @param value JSON, no bytes for a deleted object
+     */
+    record ObjectChange(String name, long revision, boolean deleted, long graceMillis, RecordBytes value) {}
+
+    /**
+     * What the sender knows of some kinds; all changes were sent to the receiver before.
+     *
+     * @param current whether the platform has just confirmed it to the sender
+     */
+    record ObjectPositions(boolean current, List<ObjectPosition> positions) implements Message {
+        public ObjectPositions {
+            positions = List.copyOf(positions);
+        }
+    }
+
+    /**
+     * What the sender knows of one kind.
+     *
+     * @param revision the platform's revision from which the sender continues
+     * @param digest digest of the names and revisions of all objects
+     */
+    record ObjectPosition(String kind, long revision, long digest) {}
+
+    /** Asks for all objects of a kind that the receiver knows, because the sender cannot reach the platform. */
+    record ObjectsRequest(String kind) implements Message {}
 }
--- a/peer/src/main/java/io/carawaylift/peer/MessageType.java
+++ b/peer/src/main/java/io/carawaylift/peer/MessageType.java
@@ -14,7 +14,11 @@
     STORE_DIGEST(10, Message.StoreDigest.class),
     STORE_VERSIONS(11, Message.StoreVersions.class),
     RECORD_REQUEST(12, Message.RecordRequest.class),
-    HOST_REPORT(13, Message.HostReport.class);
+    HOST_REPORT(13, Message.HostReport.class),
+    OBJECT_CHANGES(14, Message.ObjectChanges.class),
+    OBJECT_POSITIONS(15, Message.ObjectPositions.class),
+    OBJECTS_REQUEST(16, Message.ObjectsRequest.class),
+    REGION_REPORTS(17, Message.RegionReports.class);
 
     private final int number;
     private final Class<? extends Message> messageClass;
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -41,7 +41,21 @@
                 new Message.StoreDigest(-5, true),
                 new Message.StoreVersions(Map.of("table", 3L), true, false),
                 new Message.RecordRequest(List.of("table")),
-                new Message.HostReport("host-1", "r", "d", 7L, "10.0.0.1:80", true, Map.of("service", 1.5)));
+                new Message.HostReport("host-1", "r", "d", 7L, "10.0.0.1:80", true, false, Map.of("service", 1.5)),
+                new Message.ObjectChanges(
+                        "kind",
+                        List.of(
+                                new Message.ObjectChange("a", 5, false, 0, RecordBytes.of("{}")),
+                                new Message.ObjectChange("b", 6, true, 1500, RecordBytes.of("")))),
+                new Message.ObjectPositions(true, List.of(new Message.ObjectPosition("kind", 9, -7))),
+                new Message.ObjectsRequest("kind"),
+                new Message.RegionReports(List.of(
+                        new Message.RegionReport(
+                                "r",
+                                3,
+                                List.of(new Message.HostReport("h", "r", "d", 7L, "a:1", true, true, Map.of())),
+                                Map.of("service", 2.5)),
+                        new Message.RegionReport("q", 4, null, Map.of()))));
     }
 
     @ParameterizedTest
