Keep the order of an object's endpoints, and write waiting log lines in one call

Each choice hashed every endpoint of the region many times, the permission to warm a cold endpoint was derived anew for each, and each log line was a call of its own.

Change: orders are kept until the list of endpoints changes, permissions until the next plan, and all waiting lines are written at once.

Kept because the work per request no longer grows with the square of the logarithm of the endpoints.

--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -24,8 +26,17 @@
     /** Part of a request's work by which an endpoint is avoided for each place behind the first of an object's order. */
     private static final double RANK_PART = 0.15;
 
+    /** Orders that are kept; there are a few dozen objects for each kind of request. */
+    private static final int MOST_ORDERS = 4096;
+
     private final Fleet fleet;
     private final String ownZone;
+    private final Map<OrderKey, List<EndpointStatus>> orders = new HashMap<>();
+    private long ordersAt;
+
+    private record OrderKey(String service, String region, String object, boolean large) {}
+
+    private record Ranked(EndpointStatus status, boolean behind, double weight) {}
 
     /** Creates a picker for a host in {@code ownZone}. */
     public EndpointPicker(Fleet fleet, String ownZone) {
@@ -61,17 +72,13 @@
 
     /** Returns the best endpoint in the region, or empty if none may be used now. */
     public Optional<Choice> pick(Need need, String region, WorkTimes times, long nowNanos) {
-        List<EndpointStatus> candidates = new ArrayList<>();
-        for (EndpointStatus status : fleet.usable(need.service())) {
-            if (status.entry().region().equals(region) && mayUse(status, need, nowNanos)) {
-                candidates.add(status);
-            }
-        }
-        candidates.sort(order(need));
         Choice best = null;
         double least = Double.POSITIVE_INFINITY;
-        for (int rank = 0; rank < candidates.size(); rank++) {
-            EndpointStatus status = candidates.get(rank);
+        int rank = 0;
+        for (EndpointStatus status : order(need, region)) {
+            if (!mayUse(status, need, nowNanos)) {
+                continue;
+            }
             Choice choice = estimate(status, need, rank, times, nowNanos);
             double cost = choice.workMillis()
                     + choice.waitMillis()
@@ -81,22 +88,35 @@
                 least = cost;
                 best = choice;
             }
+            rank++;
         }
         return Optional.ofNullable(best);
     }
 
-    /** Returns the order of an object's endpoints, which is the same for all hosts of a zone. */
-    private Comparator<EndpointStatus> order(Need need) {
-        Comparator<EndpointStatus> byHash = Comparator.comparingDouble(
-                status -> -Rendezvous.fraction(need.object(), status.entry().id()));
-        Comparator<EndpointStatus> order =
-                byHash.thenComparing(status -> status.entry().id());
-        if (need.large()) {
-            // Otherwise the place in the order would outweigh the way of the bytes.
-            return Comparator.comparing((EndpointStatus status) -> !isInOwnZone(status))
-                    .thenComparing(order);
+    /** Returns the order of an object's endpoints in a region, which is the same for all hosts of a zone. */
+    private List<EndpointStatus> order(Need need, String region) {
+        if (ordersAt != fleet.changes() || orders.size() >= MOST_ORDERS) {
+            orders.clear();
+            ordersAt = fleet.changes();
+        }
+        return orders.computeIfAbsent(
+                new OrderKey(need.service(), region, need.object(), need.large()), this::computeOrder);
+    }
+
+    private List<EndpointStatus> computeOrder(OrderKey key) {
+        List<Ranked> ranked = new ArrayList<>();
+        for (EndpointStatus status : fleet.usable(key.service())) {
+            if (status.entry().region().equals(key.region())) {
+                // Otherwise the place in the order would outweigh the way of the bytes of a large answer.
+                boolean behind = key.large() && !isInOwnZone(status);
+                String id = status.entry().id();
+                ranked.add(new Ranked(status, behind, Rendezvous.fraction(key.object(), id)));
+            }
         }
-        return order;
+        ranked.sort(Comparator.comparing(Ranked::behind)
+                .thenComparing(Comparator.comparingDouble(Ranked::weight).reversed())
+                .thenComparing(each -> each.status().entry().id()));
+        return ranked.stream().map(Ranked::status).toList();
     }
 
     private boolean isInOwnZone(EndpointStatus status) {
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/Fleet.java
@@ -16,12 +16,14 @@
     private final Map<String, Map<String, EndpointStatus>> byService = new HashMap<>();
     private final EndpointHealth health = new EndpointHealth();
     private Set<String> evacuatedZones = Set.of();
+    private long changes;
 
     /** Creates a fleet without endpoints. */
     public Fleet() {}
 
     /** Adds an endpoint or takes its newer entry. */
     public void put(EndpointEntry entry, long nowNanos) {
+        changes++;
         EndpointStatus status = endpoints.get(entry.id());
         if (status == null) {
             status = new EndpointStatus(entry, nowNanos);
@@ -41,6 +43,7 @@
 
     /** Forgets an endpoint. */
     public void remove(String id) {
+        changes++;
         EndpointStatus status = endpoints.remove(id);
         if (status != null) {
             byService.get(status.entry().service()).remove(id);
@@ -60,6 +63,7 @@
 
     /** Sets the zones whose endpoints get no requests. */
     public void setEvacuatedZones(Set<String> zones) {
+        changes++;
         evacuatedZones = Set.copyOf(zones);
     }
 
@@ -68,6 +72,11 @@
         return evacuatedZones;
     }
 
+    /** Returns a number that changes whenever the lists of usable endpoints may have changed. */
+    long changes() {
+        return changes;
+    }
+
     /** Returns the judge of endpoints. */
     public EndpointHealth health() {
         return health;
--- /dev/null
+++ b/decisions/src/test/java/io/carawaylift/decisions/address/CapableHostsTest.java
@@ -0,0 +1,48 @@
+package io.carawaylift.decisions.address;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class CapableHostsTest {
+    private static List<Double> chosen(List<Double> sizes) {
+        return CapableHosts.of(sizes, size -> size);
+    }
+
+    /** Guards against hosts of one size of which some get all callers. */
+    @Test
+    void hostsOfOneSizeAreAllChosen() {
+        List<Double> sizes = Collections.nCopies(9, 0.6);
+
+        assertThat(chosen(sizes)).isEqualTo(sizes);
+    }
+
+    /** Guards against callers at hosts of a fifth of the size while large ones have room. */
+    @Test
+    void largeHostsAreChosenIfTheyHaveHalfOfTheCapacity() {
+        List<Double> sizes = new ArrayList<>(Collections.nCopies(17, 0.3));
+        sizes.addAll(Collections.nCopies(4, 1.5));
+
+        assertThat(chosen(sizes)).isEqualTo(Collections.nCopies(4, 1.5));
+    }
+
+    /** Guards against a single large host that gets the work of many small ones. */
+    @Test
+    void smallHostsAreChosenTooIfTheLargeOnesHaveLessThanHalf() {
+        List<Double> sizes = new ArrayList<>(Collections.nCopies(17, 0.3));
+        sizes.add(1.5);
+
+        assertThat(chosen(sizes)).hasSize(18);
+    }
+
+    /** Guards against a choice of too few to bear the loss of one. */
+    @Test
+    void aFewAreChosenAtLeast() {
+        assertThat(chosen(List.of(9.0, 1.0, 0.9, 0.8, 0.7))).containsExactly(9.0, 1.0, 0.9, 0.8);
+        assertThat(chosen(List.of(9.0, 1.0))).containsExactly(9.0, 1.0);
+        assertThat(chosen(List.of())).isEmpty();
+    }
+}
--- a/host/src/main/java/io/carawaylift/host/EventLog.java
+++ b/host/src/main/java/io/carawaylift/host/EventLog.java
@@ -103,9 +103,8 @@
 
     private void write(List<String> lines) {
         try {
-            for (String line : lines) {
-                out.write(line.getBytes(StandardCharsets.UTF_8));
-            }
+            // One call for all lines that wait: each call costs processor time.
+            out.write(String.join("", lines).getBytes(StandardCharsets.UTF_8));
             out.flush();
         } catch (IOException e) {
             // The log itself is broken, so the only trace left is the metric of dropped lines.
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -51,6 +51,10 @@
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
     private final Map<String, Double> regionDelays = new HashMap<>();
     private final Set<String> regions;
+
+    /** Whether this host sends to an endpoint while it is cold; decided anew with each plan, since hosts come and go. */
+    private final Map<String, Boolean> warmedHere = new HashMap<>();
+
     private HostOptions.SharedLimits limits;
     private int open;
 
@@ -188,6 +192,10 @@
 
     /** Returns whether this host is the one that sends to a cold endpoint: the first living one of its region by hash. */
     boolean mayWarm(EndpointEntry endpoint) {
+        return warmedHere.computeIfAbsent(endpoint.id(), id -> isFirstFor(endpoint));
+    }
+
+    private boolean isFirstFor(EndpointEntry endpoint) {
         if (!members.isSettled() || !endpoint.region().equals(ownRegion())) {
             return false;
         }
@@ -222,6 +230,7 @@
     /** Updates rates and the shares of regions. */
     void plan() {
         long now = System.nanoTime();
+        warmedHere.clear();
         traffic.values().forEach(each -> each.updateRate(now));
         Map<String, Map<String, Double>> busy = members.busySlots();
         traffic.forEach((service, each) -> {
