Send callers to the largest hosts that make up half of a region's capacity

Cause: with 62 hosts each serves about fifteen requests a second, so most of its code runs interpreted, it knows little of the endpoints, and it opens a new connection for every second request.

Change: hosts report their processor; a look-up names the largest hosts with half of the region's capacity and at least four. Hosts of one size are all named as before.

--- a/host/src/main/java/io/carawaylift/host/HostOptions.java
+++ b/host/src/main/java/io/carawaylift/host/HostOptions.java
@@ -16,6 +16,7 @@
  * @param metricsPort port of the metrics page
  * @param store address of the platform's store
  * @param regionsByZone region of each zone
+ * @param cores processor of the host in cores of usual speed
  * @param limits limits that the operators' rules set for all hosts together
  */
 record HostOptions(
@@ -27,7 +28,9 @@
         int metricsPort,
         InetSocketAddress store,
         Map<String, String> regionsByZone,
+        double cores,
         SharedLimits limits) {
+    private static final double MOST_CORES = 1024;
     private static final double LEAST_SECONDS = 0.1;
     private static final double MOST_SECONDS = 600;
     private static final double MILLIS_PER_SECOND = 1000;
@@ -58,6 +61,8 @@
                 settings.port("listen.metrics_port"),
                 socketAddress(settings.address("platform.store")),
                 settings.texts("zones"),
+                settings.decimal("machine.processor_share", 1, 0, 1)
+                        * settings.decimal("machine.processor_speed", 1, 0, MOST_CORES),
                 new SharedLimits(
                         seconds(settings, "limits.grace_period_s", 6),
                         settings.decimal("limits.retry_ratio", 0.2, 0, 1),
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -177,6 +177,7 @@
                 text(callerAddress),
                 takesRequests(),
                 relay.reachesStore(),
+                options.cores(),
                 forwarder.busySlots());
     }
 
--- a/host/src/main/java/io/carawaylift/host/Lookups.java
+++ b/host/src/main/java/io/carawaylift/host/Lookups.java
@@ -1,5 +1,6 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.address.CapableHosts;
 import io.carawaylift.peer.Message;
 import io.carawaylift.platform.store.CallerInterface;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -48,22 +49,24 @@
         return new PageServer.Page(status, "application/json", "");
     }
 
-    /** Returns the hosts of the region that take requests, or those of all regions if the region has none. */
+    /** Returns the largest hosts of the region that take requests, or those of all regions if the region has none. */
     List<String> addresses(String region) {
         List<Message.HostReport> hosts = new ArrayList<>(others.get());
         hosts.add(own.get());
-        List<String> near = new ArrayList<>();
-        List<String> all = new ArrayList<>();
+        List<Message.HostReport> near = new ArrayList<>();
+        List<Message.HostReport> all = new ArrayList<>();
         for (Message.HostReport host : hosts) {
             if (!host.takesRequests()) {
                 continue;
             }
-            all.add(host.callerAddress());
+            all.add(host);
             if (host.region().equals(region)) {
-                near.add(host.callerAddress());
+                near.add(host);
             }
         }
-        List<String> chosen = near.isEmpty() ? all : near;
+        List<String> chosen = new ArrayList<>();
+        CapableHosts.of(near.isEmpty() ? all : near, Message.HostReport::cores)
+                .forEach(host -> chosen.add(host.callerAddress()));
         Collections.sort(chosen);
         return chosen.subList(0, Math.min(MAX_ADDRESSES, chosen.size()));
     }
--- a/host/src/main/java/io/carawaylift/host/RegionViews.java
+++ b/host/src/main/java/io/carawaylift/host/RegionViews.java
@@ -174,6 +174,7 @@
                 report.callerAddress(),
                 report.takesRequests(),
                 report.reachesPlatform(),
+                report.cores(),
                 Map.of());
     }
 }
--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -126,6 +126,7 @@
      * @param callerAddress {@code host:port} for callers' requests
      * @param takesRequests whether callers may be sent to the host
      * @param reachesPlatform whether the host's last calls to the platform were answered
+     * @param cores processor of the host in cores of usual speed
      * @param busySlots slots that the requests of the host's callers keep busy, by service
      */
     record HostReport(
@@ -136,6 +137,7 @@
             String callerAddress,
             boolean takesRequests,
             boolean reachesPlatform,
+            double cores,
             Map<String, Double> busySlots)
             implements Message {
         public HostReport {
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -41,7 +41,7 @@
                 new Message.StoreDigest(-5, true),
                 new Message.StoreVersions(Map.of("table", 3L), true, false),
                 new Message.RecordRequest(List.of("table")),
-                new Message.HostReport("host-1", "r", "d", 7L, "10.0.0.1:80", true, false, Map.of("service", 1.5)),
+                new Message.HostReport("host-1", "r", "d", 7L, "10.0.0.1:80", true, false, 0.6, Map.of("service", 1.5)),
                 new Message.ObjectChanges(
                         "kind",
                         List.of(
@@ -53,7 +53,7 @@
                         new Message.RegionReport(
                                 "r",
                                 3,
-                                List.of(new Message.HostReport("h", "r", "d", 7L, "a:1", true, true, Map.of())),
+                                List.of(new Message.HostReport("h", "r", "d", 7L, "a:1", true, true, 1.5, Map.of())),
                                 Map.of("service", 2.5)),
                         new Message.RegionReport("q", 4, null, Map.of()))));
     }
