Tell the story of a request from the hosts' log lines

Cause: on the users' machines engineers have only logs; explain asked programs that do not run there.

--- a/cli/src/main/java/io/carawaylift/cli/ExplainCommand.java
+++ b/cli/src/main/java/io/carawaylift/cli/ExplainCommand.java
@@ -2,14 +2,21 @@
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import io.carawaylift.model.AuditEntry;
 import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.Member;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.platform.PlatformClient;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Clock;
+import java.util.List;
 import java.util.Optional;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -25,8 +32,17 @@
     @Arguments(title = "id", description = "Request id from an answer, or change id or version from the history")
     private String id;
 
+    @Option(
+            name = "--log",
+            title = "file",
+            description = "Log lines of host programs, - for standard input; nothing is asked over the network then")
+    private String logFile;
+
     @Override
     int run() {
+        if (logFile != null) {
+            return tellFromLog();
+        }
         PlatformClient platform = platform();
         Optional<AuditEntry> change = change(platform);
         if (change.isPresent()) {
@@ -37,6 +53,22 @@
         return OK;
     }
 
+    private int tellFromLog() {
+        List<String> story;
+        try (BufferedReader lines = logFile.equals("-")
+                ? new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))
+                : Files.newBufferedReader(Path.of(logFile))) {
+            story = new RequestStory(lines.lines()).of(id);
+        } catch (IOException e) {
+            throw new CarawayliftException(ResultCode.NOT_FOUND, "cannot read " + logFile, e);
+        }
+        if (story.isEmpty()) {
+            throw new CarawayliftException(ResultCode.NOT_FOUND, "no line about request '" + id + "' in " + logFile);
+        }
+        story.forEach(out()::println);
+        return OK;
+    }
+
     private Optional<AuditEntry> change(PlatformClient platform) {
         long newest = new TableStore(platform, Clock.systemUTC())
                 .read()
