Correct a test of the soak's ledger that excused a late request by a later disturbance

The test was wrong: it recorded the disturbance after the run and expected it to excuse the run. The ledger is unchanged. Two tests replace it: a later disturbance and one of another host excuse nothing, one before does.

--- a/soak/src/test/java/io/carawaylift/soak/LedgerTest.java
+++ b/soak/src/test/java/io/carawaylift/soak/LedgerTest.java
@@ -61,15 +61,33 @@
         assertThat(ledger.check(true)).hasSize(1);
     }
 
-    @Test
-    void aRequestAfterAnEndpointLeftIsFound() throws InterruptedException {
+    private void runLongAfterItsEndpointLeft() throws InterruptedException {
         ledger.leaving("e-1");
         Thread.sleep(2600);
         sent("a", false);
         ledger.running("a", "e-1", "/path/a");
+    }
+
+    @Test
+    void aRequestAfterAnEndpointLeftIsFoundAlsoIfADisturbanceCameLater() throws InterruptedException {
+        runLongAfterItsEndpointLeft();
+        ledger.disturbed(0, 1000);
 
         assertThat(ledger.check(false)).hasSize(1);
-        ledger.disturbed(0, 10_000);
-        assertThat(ledger.check(false)).isEmpty();
+    }
+
+    @Test
+    void aDisturbanceOfTheHostExcusesALateRequestAndOneOfAnotherHostDoesNot() throws InterruptedException {
+        ledger.disturbed(1, 100);
+        runLongAfterItsEndpointLeft();
+        assertThat(ledger.check(false)).hasSize(1);
+
+        Ledger disturbed = new Ledger();
+        disturbed.disturbed(0, 100);
+        disturbed.leaving("e-1");
+        Thread.sleep(2600);
+        disturbed.sending("a", "/path/a", false, 0);
+        disturbed.running("a", "e-1", "/path/a");
+        assertThat(disturbed.check(false)).isEmpty();
     }
 }
