--- a/host/src/main/java/io/carawaylift/host/CallerConnection.java
+++ b/host/src/main/java/io/carawaylift/host/CallerConnection.java
@@ -2,7 +2,6 @@
 
 import io.carawaylift.model.ResultCode;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -48,18 +47,22 @@
     private final Deque<HttpObject> pipelinedMessages = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
-    private CompositeByteBuf body;
+    private BodyBuffer body;
     private long headReceivedNanos;
     private long lastActiveNanos;
     private boolean readingHead;
     private CallerRequest currentRequest;
     private boolean responding;
+
+    /** Responses that are not yet written completely, because the caller reads slowly. */
+    private int writing;
+
     private boolean closeAfterResponse;
 
     /** Handles complete requests. */
     interface Handler {
         /** Starts to process a request. The handler takes ownership of {@code body} and must release it. */
-        CallerRequest handle(CallerConnection caller, HttpRequest head, ByteBuf body, long arrivedNanos);
+        CallerRequest handle(CallerConnection caller, HttpRequest head, BodyBuffer body, long arrivedNanos);
 
         /** Called when a request is refused before it was read whole; {@code head} is null if it was not read. */
         void refused(HttpRequest head, ResultCode code, int status);
@@ -119,7 +122,7 @@
         readingHead = false;
         head = request;
         headReceivedNanos = System.nanoTime();
-        body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+        body = new BodyBuffer(channel.alloc(), server.requestBudget(), HttpUtil.getContentLength(request, -1L));
         closeAfterResponse = !HttpUtil.isKeepAlive(request);
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(
@@ -128,15 +131,18 @@
     }
 
     private void add(HttpContent content) {
-        if (body.readableBytes() + (long) content.content().readableBytes()
+        if (body.bytes().readableBytes() + (long) content.content().readableBytes()
                 > server.limits().maxBodyBytes()) {
             refuse(ResultCode.BODY_TOO_LARGE, ResultCode.BODY_TOO_LARGE.httpStatus());
             return;
         }
-        body.addComponent(true, content.content().retain());
+        if (!body.append(content.content())) {
+            refuse(ResultCode.QUEUE_FULL, ResultCode.QUEUE_FULL.httpStatus());
+            return;
+        }
         if (content instanceof LastHttpContent) {
             HttpRequest request = head;
-            ByteBuf completeBody = body;
+            BodyBuffer completeBody = body;
             head = null;
             body = null;
             responding = true;
@@ -155,7 +161,8 @@
         responding = true;
         closeAfterResponse = true;
         HttpHeaders headers = LocalResponses.headers();
-        respond(status, headers, Unpooled.copiedBuffer(LocalResponses.body(code, ""), StandardCharsets.UTF_8), false);
+        ByteBuf content = Unpooled.copiedBuffer(LocalResponses.body(code, ""), StandardCharsets.UTF_8);
+        respond(status, headers, content, false, () -> {});
     }
 
     /** Returns whether the connection is open. */
@@ -169,9 +176,11 @@
      * @param headers headers of the response; this method sets Content-Length, unless {@code isHeadRequest} is true
      * @param isHeadRequest whether {@code content} is empty because the request method was HEAD; a Content-Length in
      *     {@code headers} then stays as it is, since it is the length that a GET would have
+     * @param contentReleased run once {@code content} is no longer held
      */
-    void respond(int status, HttpHeaders headers, ByteBuf content, boolean isHeadRequest) {
+    void respond(int status, HttpHeaders headers, ByteBuf content, boolean isHeadRequest, Runnable contentReleased) {
         currentRequest = null;
+        writing++;
         boolean close = closeAfterResponse || server.isStopping();
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content, headers, LocalResponses.headers());
@@ -182,6 +191,8 @@
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         channel.writeAndFlush(response).addListener(done -> {
+            writing--;
+            contentReleased.run();
             lastActiveNanos = System.nanoTime();
             if (close || !done.isSuccess()) {
                 channel.close();
@@ -210,8 +221,9 @@
         }
     }
 
+    /** Returns whether a request is being read or processed, or its response is being written. */
     boolean isBusy() {
-        return responding || head != null;
+        return responding || head != null || writing > 0;
     }
 
     void closeIfIdle() {
@@ -223,7 +235,7 @@
     /** Closes the connection if it was idle for too long, and refuses a request that does not arrive in time. */
     void sweep(long nowNanos) {
         long sinceActive = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastActiveNanos);
-        if (responding) {
+        if (responding || writing > 0) {
             return;
         }
         if (head != null || readingHead) {
@@ -254,6 +266,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        server.connectionFailed(cause);
         context.close();
     }
 
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -1,7 +1,9 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.dispatch.DispatchRequest;
+import io.carawaylift.decisions.dispatch.ServiceDispatcher;
+import io.carawaylift.decisions.dispatch.ServiceDispatcher.Decision;
 import io.carawaylift.decisions.fleet.EndpointPicker.Choice;
-import io.carawaylift.decisions.fleet.EndpointPicker.Requirements;
 import io.carawaylift.decisions.fleet.EndpointStatus;
 import io.carawaylift.decisions.route.RequestKind;
 import io.carawaylift.decisions.route.Route;
@@ -23,7 +25,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -37,18 +38,6 @@
 final class CallerRequest {
     private static final double NANOS_PER_MILLI = 1e6;
 
-    /**
-     * Fraction of the target latency for which a request is queued before a response later than the target is accepted;
-     * a longer wait adds latency without getting the request served.
-     */
-    private static final double TARGET_QUEUE_WAIT_FRACTION = 0.125;
-
-    /** Fraction of the timeout after which a queued request is refused, so that its caller still has time to retry. */
-    private static final double MAX_QUEUE_WAIT_FRACTION = 0.15;
-
-    /** Fraction of the timeout within which the response must be expected once the target latency cannot be met. */
-    private static final double LATE_RESPONSE_FRACTION = 0.45;
-
     /**
      * Time after the deadline in which a response may still arrive: an endpoint stops work at the deadline and reports
      * that.
@@ -58,8 +47,10 @@
     /** Max sends of a request, including those that an endpoint rejected without running it. */
     private static final int MAX_SENDS = 3;
 
-    /** Min value of the Retry-After header. */
-    private static final double MIN_RETRY_AFTER_SECONDS = 0.2;
+    /** Value of the Retry-After header while the configuration is not known yet. */
+    private static final double UNKNOWN_RETRY_AFTER_SECONDS = 0.4;
+
+    private static final double MILLIS_PER_SECOND = 1e3;
 
     private static final int BAD_REQUEST_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -72,11 +63,10 @@
     private final Forwarder forwarder;
     private final CallerConnection caller;
     private final HttpRequest head;
-    private final ByteBuf body;
+    private final BodyBuffer body;
     private final long arrivedNanos;
     private final String id;
     private final String object;
-    private final Set<String> excludedEndpoints = new HashSet<>();
     private final List<String> steps = new ArrayList<>();
     private Route route;
     private long configurationVersion;
@@ -86,15 +76,14 @@
     private HostLoop.Timer timer;
     private boolean finished;
     private boolean queued;
-    private boolean acceptsLateResponse;
-    private String region = "";
+    private DispatchRequest dispatch;
     private boolean mayHaveRun;
     private int runs;
     private int sends;
     private OutboundConnection inFlightConnection;
     private EndpointStatus inFlightEndpoint;
 
-    CallerRequest(Forwarder forwarder, CallerConnection caller, HttpRequest head, ByteBuf body, long arrivedNanos) {
+    CallerRequest(Forwarder forwarder, CallerConnection caller, HttpRequest head, BodyBuffer body, long arrivedNanos) {
         this.forwarder = forwarder;
         this.caller = caller;
         this.head = head;
@@ -104,12 +93,9 @@
         this.object = head.headers().get(RequestHeaders.OBJECT, "");
     }
 
-    int priority() {
-        return route.priority();
-    }
-
-    long arrivedNanos() {
-        return arrivedNanos;
+    /** Returns what the dispatch depends on; null before the route is known. */
+    DispatchRequest dispatch() {
+        return dispatch;
     }
 
     /** Finds the route and sends or queues the request. */
@@ -135,6 +121,16 @@
         traffic.arrived(object, arrivedNanos);
         long allowedMillis = Math.min(callerRemainingMillis(), route.timeoutMillis());
         deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis);
+        dispatch = DispatchRequest.builder()
+                .object(object)
+                .priority(route.priority())
+                .arrivedNanos(arrivedNanos)
+                .targetMillis(route.targetLatencyMillis())
+                .timeoutMillis(route.timeoutMillis())
+                .deadlineNanos(deadlineNanos)
+                .largeResponse(route.kind() == RequestKind.DOWNLOAD)
+                .mayRunIn(route::mayRunIn)
+                .build();
         long untilDeadline = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
         timer = forwarder.loop().after(untilDeadline + RESPONSE_GRACE_MILLIS, this::deadlinePassed);
         sendOrQueue();
@@ -157,92 +153,43 @@
             return;
         }
         queued = true;
+        dispatch.waitFrom(System.nanoTime());
         traffic.enqueue(this);
-        forwarder
-                .loop()
-                .after((long) (TARGET_QUEUE_WAIT_FRACTION * route.targetLatencyMillis()), this::acceptLateResponse);
-        forwarder.loop().after((long) (MAX_QUEUE_WAIT_FRACTION * route.timeoutMillis()), this::queueWaitExpired);
-    }
-
-    /** Accepts from now on an endpoint that is expected to respond later than the target latency. */
-    private void acceptLateResponse() {
-        if (queued) {
-            acceptsLateResponse = true;
-            if (trySend()) {
-                traffic.dequeue(this);
-            }
+        for (long millis : ServiceDispatcher.decisionTimesMillis(dispatch)) {
+            forwarder.loop().after(millis, this::decideAgain);
         }
     }
 
-    private void queueWaitExpired() {
-        if (queued) {
+    private void decideAgain() {
+        if (queued && trySend()) {
             traffic.dequeue(this);
-            queued = false;
-            refuse(ResultCode.QUEUE_FULL, "no endpoint had capacity while the request was queued");
         }
     }
 
-    /** Sends the request if an endpoint is expected to respond in time; returns false if it has to stay queued. */
+    /** Sends or refuses the request; returns false if it has to stay queued. */
     boolean trySend() {
         if (finished) {
             queued = false;
             return true;
         }
         long now = System.nanoTime();
-        Requirements requirements = new Requirements(
-                service,
-                object,
-                route.kind() == RequestKind.DOWNLOAD,
-                excludedEndpoints,
-                forwarder.coldRate(service),
-                forwarder::mayWarmUp);
-        if (region.isEmpty()) {
-            region = traffic.shares().next(object, route::mayRunIn);
-        }
-        Optional<Choice> choice = choose(requirements, now);
-        if (choice.isEmpty()
-                || !isExpectedInTime(choice.get(), now)
-                || !forwarder.picker().tryTake(choice.get(), requirements, now)) {
-            return false;
-        }
-        queued = false;
-        send(choice.get(), now);
-        return true;
-    }
-
-    /**
-     * Chooses an endpoint in the planned region, or in another one if the planned region has no usable endpoint. A busy
-     * planned region keeps its requests.
-     */
-    private Optional<Choice> choose(Requirements requirements, long now) {
-        Optional<Choice> planned = forwarder.picker().pick(requirements, region, traffic.processingTimes(), now);
-        if (planned.isPresent()) {
-            return planned;
-        }
-        for (String other : forwarder.regions()) {
-            if (route.mayRunIn(other) && !other.equals(region)) {
-                Optional<Choice> choice = forwarder.picker().pick(requirements, other, traffic.processingTimes(), now);
-                if (choice.isPresent()) {
-                    return choice;
-                }
+        Decision decision = traffic.dispatcher().decide(dispatch, now);
+        switch (decision.verdict()) {
+            case SEND -> {
+                queued = false;
+                send(decision.choice().orElseThrow(), now);
+                return true;
+            }
+            case REFUSE -> {
+                queued = false;
+                refuse(ResultCode.QUEUE_FULL, decision.reason());
+                return true;
+            }
+            case WAIT -> {
+                return false;
             }
         }
-        return Optional.empty();
-    }
-
-    /** Returns whether the endpoint has a free slot or is expected to respond within the current limit. */
-    private boolean isExpectedInTime(Choice choice, long now) {
-        if (choice.queueWaitMillis() <= 0) {
-            return true;
-        }
-        double elapsed = (now - arrivedNanos) / NANOS_PER_MILLI;
-        double predicted = elapsed
-                + forwarder.roundTripMillis(choice.endpoint().entry().region())
-                + choice.queueWaitMillis()
-                + choice.processingMillis();
-        double limit =
-                acceptsLateResponse ? LATE_RESPONSE_FRACTION * route.timeoutMillis() : route.targetLatencyMillis();
-        return predicted <= limit;
+        return false;
     }
 
     private void send(Choice choice, long now) {
@@ -326,15 +273,15 @@
         HttpHeaders headers = ForwardedHeaders.copyOf(head.headers());
         headers.set(RequestHeaders.REMAINING_MILLIS, remainingMillis);
         headers.set(RequestHeaders.EXPECTED_ENDPOINT, endpoint.entry().id());
-        boolean hasBody = body.isReadable() || HttpUtil.isTransferEncodingChunked(head);
+        boolean hasBody = body.bytes().isReadable() || HttpUtil.isTransferEncodingChunked(head);
         if (hasBody || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.bytes().readableBytes());
         }
         return new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 head.method(),
                 head.uri(),
-                body.retainedDuplicate(),
+                body.bytes().retainedDuplicate(),
                 headers,
                 EmptyHttpHeaders.INSTANCE);
     }
@@ -355,10 +302,11 @@
         LoadHeader.parse(headers.get(RequestHeaders.LOAD))
                 .ifPresent(load -> endpoint.loadReported(load.running(), load.waiting(), now));
         if (headers.contains(RequestHeaders.NOT_RUN) || response.status() == MISDIRECTED_STATUS) {
-            response.body().release();
+            response.discard();
             runs--;
             mayHaveRun = runs > 0;
             step("%s did not run it: status %d", endpointId, response.status());
+            endpoint.outcome(false, now);
             retryNotRun(endpoint, "status " + response.status());
             return;
         }
@@ -366,28 +314,30 @@
         boolean success = response.status() <= MAX_SUCCESS_STATUS;
         boolean claimsNotRun = NOT_RUN_STATUSES.contains(response.status());
         if ((success && !signed) || claimsNotRun) {
-            response.body().release();
+            response.discard();
             failed(endpoint, new OutboundFailure(true, "unusable response, status " + response.status()));
             return;
         }
         if (response.status() >= MIN_SERVER_ERROR_STATUS) {
             forwarder.registry().health().failed(endpointId, now);
+            endpoint.outcome(false, now);
             if (tryTakeRetry()) {
-                response.body().release();
+                response.discard();
                 step("%s failed: status %d", endpointId, response.status());
-                excludedEndpoints.add(endpointId);
+                dispatch.exclude(endpointId);
                 sendOrQueue();
                 return;
             }
         } else {
             forwarder.registry().health().succeeded(endpointId, now);
+            endpoint.outcome(true, now);
             recordProcessingTime(choice, (now - sentNanos) / NANOS_PER_MILLI);
         }
         forwardResponse(endpoint, response);
     }
 
     private void recordProcessingTime(Choice choice, double millis) {
-        if (choice.queueWaitMillis() > 0) {
+        if (!choice.slotFree()) {
             return;
         }
         String region = choice.endpoint().entry().region();
@@ -399,7 +349,7 @@
 
     /** Retries a request that the endpoint did not run, or refuses it. */
     private void retryNotRun(EndpointStatus endpoint, String reason) {
-        excludedEndpoints.add(endpoint.entry().id());
+        dispatch.exclude(endpoint.entry().id());
         if (finished) {
             return;
         }
@@ -414,7 +364,8 @@
     private void failed(EndpointStatus endpoint, OutboundFailure failure) {
         String endpointId = endpoint.entry().id();
         forwarder.registry().health().failed(endpointId, System.nanoTime());
-        excludedEndpoints.add(endpointId);
+        endpoint.outcome(false, System.nanoTime());
+        dispatch.exclude(endpointId);
         step("%s: %s", endpointId, failure.reason());
         if (finished) {
             return;
@@ -455,8 +406,15 @@
             return;
         }
         if (route != null && !route.kind().idempotent() && inFlightConnection != null) {
-            // Closing the connection could interrupt a non-idempotent operation halfway, so it stays open and the
-            // response is dropped.
+            // Closing the connection could interrupt a non-idempotent operation halfway, so it stays open until the
+            // deadline and the response is dropped.
+            OutboundConnection running = inFlightConnection;
+            long untilDeadline = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+            forwarder.loop().after(untilDeadline + RESPONSE_GRACE_MILLIS, () -> {
+                if (running.isServing(id)) {
+                    running.abort("no response before the deadline");
+                }
+            });
             inFlightConnection = null;
         }
         end(mayHaveRun ? ResultCode.CALLER_LEFT : ResultCode.CANCELLED_IN_QUEUE, 0, "the caller disconnected");
@@ -464,7 +422,7 @@
 
     private void forwardResponse(EndpointStatus endpoint, OutboundResponse response) {
         if (finished) {
-            response.body().release();
+            response.discard();
             return;
         }
         end(ResultCode.ANSWERED, response.status(), endpoint.entry().id());
@@ -473,7 +431,7 @@
         if (isHeadRequest && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, response.headers().get(HttpHeaderNames.CONTENT_LENGTH));
         }
-        caller.respond(response.status(), headers, response.body(), isHeadRequest);
+        caller.respond(response.status(), headers, response.body(), isHeadRequest, response.bodyReleased());
     }
 
     private void refuse(ResultCode code, String reason) {
@@ -499,15 +457,16 @@
             headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryAfterSeconds()));
         }
         ByteBuf content = Unpooled.copiedBuffer(LocalResponses.body(code, ""), StandardCharsets.UTF_8);
-        caller.respond(code.httpStatus(), headers, content, false);
+        caller.respond(code.httpStatus(), headers, content, false, () -> {});
     }
 
     /** Returns the seconds after which some of the requests at the endpoints are expected to have completed. */
     private double retryAfterSeconds() {
         if (traffic == null) {
-            return 2 * MIN_RETRY_AFTER_SECONDS;
+            return UNKNOWN_RETRY_AFTER_SECONDS;
         }
-        return Math.max(MIN_RETRY_AFTER_SECONDS, traffic.processingTimes().expectedMillis(true) / 1000);
+        return traffic.dispatcher().returnMillis(dispatch, forwarder.randomFraction(), System.nanoTime())
+                / MILLIS_PER_SECOND;
     }
 
     private void end(ResultCode code, int status, String reason) {
--- a/host/src/main/java/io/carawaylift/host/CallerServer.java
+++ b/host/src/main/java/io/carawaylift/host/CallerServer.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -27,13 +28,20 @@
 
     private final HostLoop loop;
     private final Supplier<CallerLimits> limits;
+    private final BufferBudget requestBudget;
     private final CallerConnection.Handler handler;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listening;
     private boolean stopping;
 
-    CallerServer(HostLoop loop, Supplier<CallerLimits> limits, CallerConnection.Handler handler) {
+    /** Creates a server; {@code requestBudget} bounds the bodies of all requests together. */
+    CallerServer(
+            HostLoop loop,
+            Supplier<CallerLimits> limits,
+            BufferBudget requestBudget,
+            CallerConnection.Handler handler) {
         this.loop = loop;
+        this.requestBudget = requestBudget;
         this.limits = limits;
         this.handler = handler;
     }
@@ -81,6 +89,17 @@
         connections.remove(connection);
     }
 
+    BufferBudget requestBudget() {
+        return requestBudget;
+    }
+
+    /** Logs what ended a connection, unless the network did. */
+    void connectionFailed(Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            loop.logFault(cause);
+        }
+    }
+
     CallerLimits limits() {
         return limits.get();
     }
--- a/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
+++ b/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
@@ -1,6 +1,7 @@
 package io.carawaylift.host;
 
 import io.carawaylift.decisions.fleet.EndpointStatus;
+import io.carawaylift.host.OutboundConnection.ResponseLimits;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -16,11 +17,17 @@
 
     private final HostLoop loop;
     private final HostMetrics metrics;
+    private final HostOptions.BufferLimits limits;
+    private final BufferBudget budget;
     private final Map<EndpointStatus, Deque<OutboundConnection>> idle = new HashMap<>();
+    private final Map<EndpointStatus, BufferBudget> budgets = new HashMap<>();
 
-    EndpointConnectionPool(HostLoop loop, HostMetrics metrics) {
+    /** Creates a pool; {@code budget} bounds the responses of all endpoints together. */
+    EndpointConnectionPool(HostLoop loop, HostMetrics metrics, HostOptions.BufferLimits limits, BufferBudget budget) {
         this.loop = loop;
         this.metrics = metrics;
+        this.limits = limits;
+        this.budget = budget;
     }
 
     /** Passes an idle or a new connection to {@code result}, or null and the reason if connecting failed. */
@@ -34,7 +41,9 @@
                 "carawaylift.endpoint.connections", "service", endpoint.entry().service());
         InetSocketAddress address =
                 new InetSocketAddress(endpoint.entry().host(), endpoint.entry().port());
-        OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, (connection, reason) -> {
+        BufferBudget endpointBudget = budgets.computeIfAbsent(endpoint, key -> budget.part(limits.maxEndpointBytes()));
+        ResponseLimits responses = new ResponseLimits(limits.maxResponseBytes(), endpointBudget);
+        OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, responses, (connection, reason) -> {
             if (connection != null) {
                 connection.onClose(() -> remove(endpoint, connection));
             }
@@ -71,6 +80,7 @@
 
     /** Closes the idle connections to an endpoint. */
     void closeIdle(EndpointStatus endpoint) {
+        budgets.remove(endpoint);
         Deque<OutboundConnection> connections = idle.remove(endpoint);
         if (connections != null) {
             connections.forEach(OutboundConnection::close);
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -1,5 +1,7 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.dispatch.ServiceDispatcher;
+import io.carawaylift.decisions.dispatch.ServicePlan;
 import io.carawaylift.decisions.fleet.EndpointEntry;
 import io.carawaylift.decisions.fleet.EndpointPicker;
 import io.carawaylift.decisions.fleet.EndpointRegistry;
@@ -14,7 +16,6 @@
 import io.carawaylift.decisions.route.ServiceRotation;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.peer.Message;
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -22,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 
 /** Starts the processing of callers' requests and holds the state that they share. Used on the event loop only. */
@@ -30,7 +32,7 @@
      * Fraction of a region's slots up to which requests stay in the region; the remaining capacity absorbs short
      * bursts.
      */
-    private static final double MAX_LOCAL_UTILIZATION = 0.75;
+    private static final double MAX_LOCAL_UTILIZATION = 0.5;
 
     /**
      * Fraction of the max region shift that is used per second. The shift is measured between windows of two seconds,
@@ -38,12 +40,6 @@
      */
     private static final double SHIFT_FRACTION_PER_SECOND = 0.25;
 
-    /** Fraction of the endpoints' caches that is planned for, because hashing fills them unevenly. */
-    private static final double USABLE_CACHE_FRACTION = 0.9;
-
-    /** Utilization of a service's slots that is assumed until traffic was measured. */
-    private static final double ASSUMED_UTILIZATION = 0.6;
-
     private final HostOptions options;
     private final HostLoop loop;
     private final EventLog log;
@@ -64,6 +60,7 @@
      */
     private final Map<String, Boolean> warmsUpHere = new HashMap<>();
 
+    private final SplittableRandom random = new SplittableRandom();
     private HostOptions.SharedLimits limits;
     private int openRequests;
 
@@ -90,7 +87,7 @@
     }
 
     @Override
-    public CallerRequest handle(CallerConnection caller, HttpRequest head, ByteBuf body, long arrivedNanos) {
+    public CallerRequest handle(CallerConnection caller, HttpRequest head, BodyBuffer body, long arrivedNanos) {
         CallerRequest request = new CallerRequest(this, caller, head, body, arrivedNanos);
         openRequests++;
         request.start();
@@ -116,7 +113,7 @@
                             newer.retryRatio(),
                             newer.retryAllowance(),
                             newer.retryWindow().toNanos());
-            each.shares().setMaxChangePerSecond(newer.maxRegionShift() * SHIFT_FRACTION_PER_SECOND);
+            each.dispatcher().shares().setMaxChangePerSecond(newer.maxRegionShift() * SHIFT_FRACTION_PER_SECOND);
         });
     }
 
@@ -140,14 +137,6 @@
         return pool;
     }
 
-    EndpointPicker picker() {
-        return picker;
-    }
-
-    Set<String> regions() {
-        return regions;
-    }
-
     String ownRegion() {
         return options.host().region();
     }
@@ -157,6 +146,11 @@
         return storeView.isComplete() ? storeView.table() : Optional.empty();
     }
 
+    /** Returns a random number between 0 and 1. */
+    double randomFraction() {
+        return random.nextDouble();
+    }
+
     int openRequests() {
         return openRequests;
     }
@@ -176,14 +170,25 @@
     }
 
     private ServiceTraffic newTraffic(String service, double targetMillis) {
-        RegionShares shares = new RegionShares(
-                ownRegion(), MAX_LOCAL_UTILIZATION, limits.maxRegionShift() * SHIFT_FRACTION_PER_SECOND);
-        shares.update(usableSlots(service, System.nanoTime()), assumedDemand(service), 1, System.nanoTime());
+        long now = System.nanoTime();
+        ServiceDispatcher dispatcher = ServiceDispatcher.builder()
+                .service(service)
+                .picker(picker)
+                .processingTimes(new ProcessingTimes(targetMillis))
+                .shares(new RegionShares(
+                        ownRegion(), MAX_LOCAL_UTILIZATION, limits.maxRegionShift() * SHIFT_FRACTION_PER_SECOND))
+                .regions(regions)
+                .roundTripMillis(this::roundTripMillis)
+                .coldRate(() -> coldRate(service))
+                .mayWarmUp(this::mayWarmUp)
+                .build();
+        ServicePlan plan = new ServicePlan(service, registry, ownRegion());
+        plan.start(dispatcher, options.regionsByZone().values(), now);
         SharedRetryBudget retries = new SharedRetryBudget(
                 limits.retryRatio(),
                 limits.retryAllowance(),
                 limits.retryWindow().toNanos());
-        return new ServiceTraffic(new ProcessingTimes(targetMillis), shares, retries, System.nanoTime());
+        return new ServiceTraffic(dispatcher, plan, retries, now);
     }
 
     /** Returns the number of hosts that share limits with this one, including this one. */
@@ -251,42 +256,11 @@
         traffic.forEach((service, each) -> {
             Map<String, Double> demand = new TreeMap<>();
             busy.forEach((region, slots) -> demand.put(region, slots.getOrDefault(service, 0.0)));
-            each.shares().update(usableSlots(service, now), demand, maxLocalFraction(service, each, now), now);
+            each.updatePlan(demand, now);
             each.sendQueued();
         });
     }
 
-    /** Returns the fraction of the requests whose objects fit the caches of the own region's endpoints, at most 1. */
-    private double maxLocalFraction(String service, ServiceTraffic each, long now) {
-        long endpoints = registry.usable(service).stream()
-                .filter(endpoint -> endpoint.entry().region().equals(ownRegion()))
-                .count();
-        double cachedObjects = USABLE_CACHE_FRACTION * EndpointStatus.MAX_CACHED_OBJECTS * endpoints;
-        return Math.min(1, cachedObjects / Math.max(1, each.recentObjects(now)));
-    }
-
-    private Map<String, Double> usableSlots(String service, long now) {
-        Map<String, Double> slots = new TreeMap<>();
-        for (EndpointStatus endpoint : registry.usable(service)) {
-            if (!endpoint.isCold(now)) {
-                slots.merge(endpoint.entry().region(), (double) endpoint.entry().slots(), Double::sum);
-            }
-        }
-        return slots;
-    }
-
-    /** Returns the demand in slots by region that is assumed until some was measured: the same for each zone. */
-    private Map<String, Double> assumedDemand(String service) {
-        double slots = 0;
-        for (double each : usableSlots(service, System.nanoTime()).values()) {
-            slots += each;
-        }
-        double perZone = ASSUMED_UTILIZATION * slots / options.regionsByZone().size();
-        Map<String, Double> demand = new TreeMap<>();
-        options.regionsByZone().values().forEach(region -> demand.merge(region, perZone, Double::sum));
-        return demand;
-    }
-
     /** Closes the idle connections to an endpoint that gets no new requests. */
     void closeIdleConnections(EndpointStatus endpoint) {
         pool.closeIdle(endpoint);
--- a/host/src/main/java/io/carawaylift/host/HostLoop.java
+++ b/host/src/main/java/io/carawaylift/host/HostLoop.java
@@ -58,7 +58,8 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
+                // Also errors: one request that exhausts a limit must not end a periodic task for good.
                 logFault(e);
             }
         };
--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -13,6 +13,7 @@
 import io.carawaylift.peer.PeerListener;
 import io.carawaylift.peer.PeerNetwork;
 import io.carawaylift.platform.store.ObjectStoreClient;
+import io.carawaylift.platform.store.ObjectStoreClient.ListMode;
 import io.carawaylift.platform.store.StoreException;
 import io.carawaylift.platform.store.StoreItem;
 import io.carawaylift.platform.store.StoreKinds;
@@ -29,6 +30,8 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Tracks the other hosts, whose addresses come from the store. Each host reports periodically to the two relays of its
@@ -70,6 +73,8 @@
 
     private static final long REGISTER_RETRY_MILLIS = 1000;
     private static final int CONFLICT_STATUS = 409;
+    private static final Pattern ADDRESS = Pattern.compile("[^:\\s]+:([0-9]{1,5})");
+    private static final int MAX_PORT = 65_535;
 
     private final HostOptions options;
     private final String ownName;
@@ -120,7 +125,8 @@
                 .readTimeout(READ_TIMEOUT)
                 .seed(Rendezvous.weight(ownName, ""))
                 .build();
-        this.watcher = new KindWatcher(StoreKinds.HOSTS, store, retries, relay, loop, log, new HostEntryListener());
+        this.watcher = new KindWatcher(
+                StoreKinds.HOSTS, ListMode.LATEST, store, retries, relay, loop, log, new HostEntryListener());
         relay.setRegion(new OwnRegionHosts());
     }
 
@@ -170,8 +176,9 @@
     }
 
     private void sendReportsPeriodically() {
-        sendReports();
+        // Scheduled first, since a fault in one report must not end the reports.
         loop.after(reportIntervalMillis(), this::sendReportsPeriodically);
+        sendReports();
     }
 
     private long reportIntervalMillis() {
@@ -334,7 +341,7 @@
         public void changed(StoreItem item) {
             JsonNode address = item.value().path("address");
             JsonNode region = item.value().path("region");
-            if (!address.isTextual() || !region.isTextual()) {
+            if (!address.isTextual() || !region.isTextual() || !isAddress(address.textValue())) {
                 log.event("member.entry_ignored", line -> line.put("member", item.name()));
                 return;
             }
@@ -366,6 +373,11 @@
             registerUnlessListed();
         }
 
+        private static boolean isAddress(String text) {
+            Matcher matcher = ADDRESS.matcher(text);
+            return matcher.matches() && Integer.parseInt(matcher.group(1)) <= MAX_PORT;
+        }
+
         private void closeOutgoingLink(String name) {
             OutgoingLink outgoing = outgoingLinks.remove(name);
             if (outgoing != null) {
@@ -447,7 +459,7 @@
         long now = System.nanoTime();
         lastReceivedNanos.put(host, now);
         if (message instanceof HostReport report) {
-            if (views.update(report, now)) {
+            if (isComplete(report) && views.update(report, now)) {
                 log.event(
                         "dependency.regained",
                         line -> line.put("dependency", "host")
@@ -456,12 +468,24 @@
                 scheduleUpdate();
             }
         } else if (message instanceof Message.RegionReports reports) {
-            reports.regions().forEach(region -> views.update(host, region, now));
+            reports.regions().stream()
+                    .filter(HostMembership::isComplete)
+                    .forEach(region -> views.update(host, region, now));
         } else {
             relay.messageReceived(connection, message);
         }
     }
 
+    /** Returns whether a report has all fields that its readers rely on. */
+    private static boolean isComplete(HostReport report) {
+        return report.host() != null && report.region() != null && report.callerAddress() != null;
+    }
+
+    private static boolean isComplete(RegionReport report) {
+        return report.region() != null
+                && (report.hosts() == null || report.hosts().stream().allMatch(HostMembership::isComplete));
+    }
+
     /** Handles the end of the connection to a host that this one contacted. */
     private void outgoingLinkClosed(String host) {
         if (outgoingLinks.containsKey(host)) {
--- a/host/src/main/java/io/carawaylift/host/HostOptions.java
+++ b/host/src/main/java/io/carawaylift/host/HostOptions.java
@@ -18,6 +18,7 @@
  * @param regionsByZone region of each zone
  * @param cores processor capacity of the host, in cores of standard speed
  * @param limits limits that operators set for all hosts together
+ * @param buffers bounds of what the host holds in memory
  */
 record HostOptions(
         HostSettings host,
@@ -29,11 +30,19 @@
         InetSocketAddress store,
         Map<String, String> regionsByZone,
         double cores,
-        SharedLimits limits) {
+        SharedLimits limits,
+        BufferLimits buffers) {
     private static final double MAX_CORES = 1024;
     private static final double MIN_SECONDS = 0.1;
     private static final double MAX_SECONDS = 600;
     private static final double MILLIS_PER_SECOND = 1000;
+    private static final int MIN_BUFFER_BYTES = 64 * 1024;
+    private static final int MAX_BUFFER_BYTES = 1024 * 1024 * 1024;
+    private static final int DEFAULT_RESPONSE_BYTES = 8 * 1024 * 1024;
+    private static final int DEFAULT_ENDPOINT_BYTES = 12 * 1024 * 1024;
+
+    /** A growing buffer takes up to twice its bytes, and the program has 96 MiB for buffers. */
+    private static final int DEFAULT_TOTAL_BYTES = 32 * 1024 * 1024;
 
     /**
      * Limits that the platform's operators set.
@@ -51,6 +60,15 @@
             Duration retryWindow,
             double maxRegionShift) {}
 
+    /**
+     * Bounds of the bytes that are buffered at once.
+     *
+     * @param maxResponseBytes bytes of one response
+     * @param maxEndpointBytes bytes of the responses of one endpoint
+     * @param maxTotalBytes bytes of all requests and responses
+     */
+    record BufferLimits(long maxResponseBytes, long maxEndpointBytes, long maxTotalBytes) {}
+
     static HostOptions of(Settings settings) {
         return new HostOptions(
                 HostSettings.of(settings),
@@ -68,7 +86,15 @@
                         settings.decimal("limits.retry_ratio", 0.2, 0, 1),
                         settings.decimal("limits.retry_allowance", 10, 0, 1e6),
                         seconds(settings, "limits.retry_window_s", 10),
-                        settings.decimal("limits.max_region_shift", 0.15, 0, 1)));
+                        settings.decimal("limits.max_region_shift", 0.15, 0, 1)),
+                new BufferLimits(
+                        bytes(settings, "buffers.max_response_bytes", DEFAULT_RESPONSE_BYTES),
+                        bytes(settings, "buffers.max_endpoint_bytes", DEFAULT_ENDPOINT_BYTES),
+                        bytes(settings, "buffers.max_total_bytes", DEFAULT_TOTAL_BYTES)));
+    }
+
+    private static long bytes(Settings settings, String key, int defaultBytes) {
+        return settings.integer(key, defaultBytes, MIN_BUFFER_BYTES, MAX_BUFFER_BYTES);
     }
 
     private static Duration seconds(Settings settings, String key, double defaultSeconds) {
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -27,8 +27,11 @@
      */
     private static final Duration ACCEPT_DURATION_AFTER_STOP = Duration.ofMillis(2600);
 
-    /** Fraction of the grace period after which the program terminates even if requests are in progress. */
-    private static final double USABLE_GRACE_FRACTION = 0.93;
+    /**
+     * Fraction of the grace period after which the program terminates even if requests are in progress; the rest is
+     * for the end of the program on a busy host.
+     */
+    private static final double USABLE_GRACE_FRACTION = 0.86;
 
     private static final long STOP_POLL_INTERVAL_MILLIS = 50;
 
@@ -64,9 +67,10 @@
         this.relay = new StoreRelay(StoreKinds.ENDPOINTS);
         this.storeView = new StoreView(registry, store, retries, relay, loop, log, options.regionsByZone());
         this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report);
-        this.pool = new EndpointConnectionPool(loop, metrics);
+        BufferBudget buffers = new BufferBudget(options.buffers().maxTotalBytes());
+        this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers);
         this.forwarder = new Forwarder(options, loop, log, metrics, storeView, registry, pool, membership);
-        this.callers = new CallerServer(loop, this::callerLimits, forwarder);
+        this.callers = new CallerServer(loop, this::callerLimits, buffers, forwarder);
         this.lookups = new Lookups(this::report, membership::liveHosts);
         storeView.onUnusable(forwarder::closeIdleConnections);
         storeView.onChange(forwarder::sendQueuedRequests);
@@ -78,6 +82,7 @@
         metrics.gauge(
                 "carawaylift.configuration.version",
                 () -> storeView.table().map(RouteTable::version).orElse(0L));
+        metrics.gauge("carawaylift.buffers.bytes", buffers::usedBytes);
         metrics.gauge("carawaylift.log.dropped", log::droppedLines);
     }
 
@@ -131,7 +136,8 @@
         loop.runAndWait(() -> {
             stopping = true;
             callers.prepareStop();
-            membership.sendReports();
+            // Not awaited: a fault in a report must not cut off the requests in progress.
+            loop.execute(membership::sendReports);
         });
         long maxStopNanos = (long) (options.limits().gracePeriod().toNanos() * USABLE_GRACE_FRACTION);
         boolean accepting = true;
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -11,6 +11,7 @@
 import io.carawaylift.platform.store.StoreChanges;
 import io.carawaylift.platform.store.StoreException;
 import io.carawaylift.platform.store.StoreItem;
+import io.carawaylift.platform.store.StorePage;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -33,6 +34,9 @@
      */
     private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
 
+    /** Timeout of a watch that only brings what a list lacked. */
+    private static final Duration IMMEDIATE_WATCH_TIMEOUT = Duration.ofMillis(1);
+
     /** Timeout of a watch whose responses show other hosts that the store is reachable. */
     private static final Duration CONFIRMING_WATCH_TIMEOUT = Duration.ofSeconds(1);
 
@@ -61,6 +65,9 @@
     /** Time after the store is reachable again in which live writers renew entries that expired meanwhile. */
     private static final long ENTRY_RENEWAL_MILLIS = 2000;
 
+    /** Stands for an unknown revision of a page; lower than any revision. */
+    private static final long NO_REVISION = 0;
+
     private static final RecordBytes NO_VALUE = RecordBytes.of("");
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -71,6 +78,7 @@
     private final Listener listener;
     private final StoreRetries retries;
     private final StoreRelay relay;
+    private final ObjectStoreClient.ListMode firstList;
     private final ObjectTable<StoreItem> table = new ObjectTable<>();
     private long startedNanos;
     private long revision;
@@ -98,8 +106,15 @@
         void synchronizedWithStore();
     }
 
+    /**
+     * Creates a watcher.
+     *
+     * @param firstList how the objects are listed at the start; a list that may be old is cheaper, and the watch that
+     *     follows it brings what it lacks
+     */
     KindWatcher(
             String kind,
+            ObjectStoreClient.ListMode firstList,
             ObjectStoreClient store,
             StoreRetries retries,
             StoreRelay relay,
@@ -107,6 +122,7 @@
             EventLog log,
             Listener listener) {
         this.kind = kind;
+        this.firstList = firstList;
         this.store = store;
         this.retries = retries;
         this.relay = relay;
@@ -122,7 +138,7 @@
 
     void start() {
         startedNanos = System.nanoTime();
-        list();
+        list(firstList, "", Long.MAX_VALUE, new ArrayList<>());
     }
 
     /** Stops after the call in flight. */
@@ -153,14 +169,14 @@
     }
 
     private void list() {
-        list("", 0, new ArrayList<>());
+        list(ObjectStoreClient.ListMode.LATEST, "", Long.MAX_VALUE, new ArrayList<>());
     }
 
-    private void list(String after, long firstRevision, List<StoreItem> items) {
+    private void list(ObjectStoreClient.ListMode mode, String after, long earlierRevision, List<StoreItem> items) {
         if (stopped) {
             return;
         }
-        loop.handle(store.list(kind, after), (page, failure) -> {
+        loop.handle(store.list(kind, after, mode), (page, failure) -> {
             if (failure != null) {
                 failed(failure);
                 relay.requestObjects(kind);
@@ -168,19 +184,32 @@
                 return;
             }
             succeeded();
-            // The watch starts at the revision of the first page, so that changes made between two pages are not
+            // The watch starts at the revision of the oldest page, so that changes made between two pages are not
             // missed.
-            long from = after.isEmpty() ? page.revision() : firstRevision;
+            long from = Math.min(earlierRevision, revisionOf(page, mode));
             items.addAll(page.items());
-            if (page.hasNextPage() && !page.items().isEmpty()) {
-                list(items.get(items.size() - 1).name(), from, items);
+            if (from == NO_REVISION) {
+                list();
+            } else if (page.hasNextPage() && !page.items().isEmpty()) {
+                list(mode, items.get(items.size() - 1).name(), from, items);
             } else {
-                applyList(items, from);
+                applyList(mode, items, from);
             }
         });
     }
 
-    private void applyList(List<StoreItem> items, long from) {
+    /**
+     * Returns a revision that a page is not older than. A page that may be old states the current revision of the
+     * store, so only its objects show how old it may be.
+     */
+    private static long revisionOf(StorePage page, ObjectStoreClient.ListMode mode) {
+        if (mode == ObjectStoreClient.ListMode.LATEST) {
+            return page.revision();
+        }
+        return page.items().stream().mapToLong(StoreItem::revision).max().orElse(NO_REVISION);
+    }
+
+    private void applyList(ObjectStoreClient.ListMode mode, List<StoreItem> items, long from) {
         List<ObjectChange> changes = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (StoreItem item : items) {
@@ -195,8 +224,13 @@
             }
         }
         revision = Math.max(revision, from);
-        loaded("store", items.size());
         relay.forwardChanges(kind, changes);
+        if (mode == ObjectStoreClient.ListMode.MAY_BE_OLD && !fullyLoaded) {
+            // What left since then must not be used; the watch tells.
+            watch();
+            return;
+        }
+        loaded("store", items.size());
         relay.sendPositions();
         continueFollowing();
     }
@@ -255,6 +289,9 @@
                 long graceMillis = storeAvailable ? 0 : graceMillis();
                 succeeded();
                 applyWatchResult(changes, graceMillis);
+                if (!fullyLoaded) {
+                    loaded("store", table.all().size());
+                }
                 if (System.nanoTime() - sentNanos < wait.toNanos() + MAX_RESPONSE_DELAY_NANOS) {
                     relay.sendPositions();
                 }
@@ -269,6 +306,9 @@
     }
 
     private Duration watchTimeout() {
+        if (!fullyLoaded) {
+            return IMMEDIATE_WATCH_TIMEOUT;
+        }
         if (relay.isConfirmingKind(kind)) {
             return CONFIRMING_WATCH_TIMEOUT;
         }
--- a/host/src/main/java/io/carawaylift/host/OutboundConnection.java
+++ b/host/src/main/java/io/carawaylift/host/OutboundConnection.java
@@ -3,7 +3,6 @@
 import io.carawaylift.platform.store.RequestHeaders;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -34,10 +33,13 @@
 @SuppressWarnings("FutureReturnValueIgnored") // failures close the channel, which is observed
 final class OutboundConnection extends ChannelInboundHandlerAdapter {
     /**
-     * Longest response body that is accepted. A host buffers each response whole, so that it can retry after an
-     * incomplete one.
+     * Bytes that may arrive before the head of the response is complete: informational responses and what the decoder
+     * skips.
      */
-    private static final int MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024;
+    private static final long MAX_BYTES_BEFORE_HEAD = 64 * 1024;
+
+    /** Informational responses and responses to earlier requests that may precede the response. */
+    private static final int MAX_SKIPPED_RESPONSES = 8;
 
     /** Idle time after which the kernel sends keep-alive probes, so that a silently lost connection is detected. */
     private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
@@ -56,28 +58,42 @@
     private static final int MAX_SUCCESS_STATUS = 299;
 
     private final ResponseDecoder decoder = new ResponseDecoder();
+    private final ResponseLimits limits;
     private Channel channel;
     private OutboundListener listener;
     private String expectedRequestId;
     private HttpResponse head;
-    private CompositeByteBuf body;
+    private BodyBuffer body;
     private boolean skippingResponse;
+    private int skippedResponses;
+    private long receivedBytes;
     private boolean reset;
     private boolean written;
     private boolean keepAlive = true;
     private long idleUntilNanos;
     private Runnable onClose = () -> {};
-    private boolean used;
+    private int requests;
+
+    /**
+     * Limits of the responses on a connection.
+     *
+     * @param maxBytes bytes of a response, with everything that arrives before it
+     * @param budget bytes of all responses that are buffered at once
+     */
+    record ResponseLimits(long maxBytes, BufferBudget budget) {}
 
-    private OutboundConnection() {}
+    private OutboundConnection(ResponseLimits limits) {
+        this.limits = limits;
+    }
 
     /** Opens a connection and passes it to {@code result}, or null and the reason for the failure. */
     static void open(
             EventLoop loop,
             InetSocketAddress address,
             int timeoutMillis,
+            ResponseLimits limits,
             BiConsumer<OutboundConnection, String> result) {
-        OutboundConnection connection = new OutboundConnection();
+        OutboundConnection connection = new OutboundConnection(limits);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -90,7 +106,12 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel opened) {
-                        opened.pipeline().addLast(new HttpRequestEncoder(), connection.decoder, connection);
+                        opened.pipeline()
+                                .addLast(
+                                        connection.new ReceivedBytes(),
+                                        new HttpRequestEncoder(),
+                                        connection.decoder,
+                                        connection);
                     }
                 });
         bootstrap.connect(address).addListener((ChannelFuture connected) -> {
@@ -117,7 +138,9 @@
         listener = receiver;
         expectedRequestId = expectedId;
         written = false;
-        used = true;
+        requests++;
+        receivedBytes = 0;
+        skippedResponses = 0;
         decoder.headRequest = request.method().equals(HttpMethod.HEAD);
         if (!channel.isActive()) {
             ReferenceCountUtil.release(request);
@@ -127,9 +150,14 @@
         channel.writeAndFlush(request).addListener(done -> written = done.isSuccess());
     }
 
+    /** Returns whether the request with this id is in flight. */
+    boolean isServing(String requestId) {
+        return listener != null && expectedRequestId.equals(requestId);
+    }
+
     /** Returns whether a request was sent on this connection. */
     boolean isUsed() {
-        return used;
+        return requests > 0;
     }
 
     /** Returns whether the connection can take another request. */
@@ -137,6 +165,11 @@
         return channel.isActive() && keepAlive && written && listener == null && idleUntilNanos - nowNanos > 0;
     }
 
+    /** Ends the request in flight, if any, as failed and closes the connection. */
+    void abort(String reason) {
+        failAndClose(reason);
+    }
+
     /** Closes the connection. A request in flight is cancelled without a call to its listener. */
     void close() {
         listener = null;
@@ -181,15 +214,20 @@
             keepAlive = false;
         }
         if (skippingResponse) {
+            skippedResponses++;
+            if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+                failAndClose("more than " + MAX_SKIPPED_RESPONSES + " responses before the expected one");
+            }
             return;
         }
         boolean success = status <= MAX_SUCCESS_STATUS;
-        if (success && !expectedRequestId.isEmpty() && echoed == null) {
+        // On a connection in use again, a response without an id may belong to an earlier request.
+        if ((success || requests > 1) && !expectedRequestId.isEmpty() && echoed == null) {
             failAndClose("the response does not say to which request it belongs");
             return;
         }
         head = response;
-        body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+        body = new BodyBuffer(channel.alloc(), limits.budget(), HttpUtil.getContentLength(response, -1L));
     }
 
     private void add(HttpContent content) {
@@ -201,11 +239,10 @@
             failAndClose("response body without a response head");
             return;
         }
-        if (body.readableBytes() + content.content().readableBytes() > MAX_RESPONSE_BODY_BYTES) {
-            failAndClose("the response body is longer than " + MAX_RESPONSE_BODY_BYTES + " bytes");
+        if (!body.append(content.content())) {
+            failAndClose("more bytes of responses are buffered than the limits allow");
             return;
         }
-        body.addComponent(true, content.content().retain());
         if (content instanceof LastHttpContent) {
             complete();
         }
@@ -221,12 +258,13 @@
         keepAlive &= HttpUtil.isKeepAlive(head) && framed;
         idleUntilNanos = System.nanoTime() + (long) (idleTimeoutSeconds * USABLE_IDLE_FRACTION * NANOS_PER_SECOND);
         OutboundListener receiver = listener;
-        ByteBuf completeBody = body;
+        BodyBuffer completeBody = body;
         HttpResponse response = head;
         listener = null;
         head = null;
         body = null;
-        receiver.responseReceived(new OutboundResponse(response.status().code(), response.headers(), completeBody));
+        receiver.responseReceived(new OutboundResponse(
+                response.status().code(), response.headers(), completeBody.bytes(), completeBody::releaseBudget));
     }
 
     /** Parses the idle timeout in seconds from a header such as {@code Keep-Alive: timeout=5}. */
@@ -280,6 +318,30 @@
         context.close();
     }
 
+    /**
+     * Counts the bytes before they are decoded, since the decoder skips some without a message: what never becomes a
+     * response must not go on for ever.
+     */
+    private final class ReceivedBytes extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            receivedBytes += ((ByteBuf) message).readableBytes();
+            if (listener == null) {
+                // Bytes without a request in flight: what follows on this connection cannot be trusted either.
+                ReferenceCountUtil.release(message);
+                context.close();
+                return;
+            }
+            if (receivedBytes > limits.maxBytes()
+                    || (head == null && !skippingResponse && receivedBytes > MAX_BYTES_BEFORE_HEAD)) {
+                ReferenceCountUtil.release(message);
+                failAndClose("no complete response within " + receivedBytes + " bytes");
+                return;
+            }
+            context.fireChannelRead(message);
+        }
+    }
+
     /** Decodes responses; a response to HEAD has no body whatever its headers say. */
     private static final class ResponseDecoder extends HttpResponseDecoder {
         private boolean headRequest;
--- a/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
+++ b/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
@@ -1,50 +1,34 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.dispatch.ServiceDemand;
+import io.carawaylift.decisions.dispatch.ServiceDispatcher;
+import io.carawaylift.decisions.dispatch.ServicePlan;
+import io.carawaylift.decisions.dispatch.WaitingRequests;
 import io.carawaylift.decisions.fleet.ProcessingTimes;
-import io.carawaylift.decisions.fleet.RegionShares;
 import io.carawaylift.decisions.fleet.SharedRetryBudget;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
-/**
- * Holds the arrival rate, processing times, shares, retry budget and queue of the requests for one service. Used on the
- * event loop only.
- */
+/** What the requests for one service share: demand, dispatch, retry budget and queue. Used on the event loop only. */
 final class ServiceTraffic {
-    private static final double NANOS_PER_SECOND = 1e9;
-    private static final double MILLIS_PER_SECOND = 1e3;
-
-    /** Time constant of the mean arrival rate; short enough to follow a load change within seconds. */
-    private static final double RATE_TIME_CONSTANT_SECONDS = 3;
-
-    /** Time for which an object counts as recent; long enough to see most of the objects of a region. */
-    private static final long RECENT_OBJECT_NANOS = 10_000_000_000L;
-
-    private final ProcessingTimes processingTimes;
-    private final RegionShares shares;
+    private final ServiceDemand demand;
+    private final ServiceDispatcher dispatcher;
+    private final ServicePlan plan;
     private final SharedRetryBudget retries;
-    private final Map<String, Long> objects = new HashMap<>();
-    private final List<CallerRequest> queue = new ArrayList<>();
-    private double requestsPerSecond;
-    private long rateUpdatedNanos;
-    private int arrivals;
+    private final WaitingRequests<CallerRequest> waiting = new WaitingRequests<>(CallerRequest::dispatch);
 
-    ServiceTraffic(ProcessingTimes processingTimes, RegionShares shares, SharedRetryBudget retries, long nowNanos) {
-        this.processingTimes = processingTimes;
-        this.shares = shares;
+    ServiceTraffic(ServiceDispatcher dispatcher, ServicePlan plan, SharedRetryBudget retries, long nowNanos) {
+        this.demand = new ServiceDemand(nowNanos);
+        this.dispatcher = dispatcher;
+        this.plan = plan;
         this.retries = retries;
-        this.rateUpdatedNanos = nowNanos;
     }
 
-    ProcessingTimes processingTimes() {
-        return processingTimes;
+    ServiceDispatcher dispatcher() {
+        return dispatcher;
     }
 
-    RegionShares shares() {
-        return shares;
+    ProcessingTimes processingTimes() {
+        return dispatcher.processingTimes();
     }
 
     SharedRetryBudget retries() {
@@ -53,56 +37,36 @@
 
     /** Records the arrival of a request for an object, whose key is empty if there is none. */
     void arrived(String object, long nowNanos) {
-        arrivals++;
         retries.recordRequest(nowNanos);
-        if (!object.isEmpty()) {
-            objects.put(object, nowNanos);
-        }
+        demand.arrived(object, nowNanos);
     }
 
-    /** Returns the number of objects that callers requested recently. */
-    int recentObjects(long nowNanos) {
-        objects.values().removeIf(seen -> nowNanos - seen > RECENT_OBJECT_NANOS);
-        return objects.size();
+    /** Returns the mean number of slots in use by this host's requests. */
+    double busySlots() {
+        return demand.busySlots(processingTimes().meanMillis());
     }
 
-    /** Updates the mean arrival rate with the arrivals since the last call. */
+    /** Updates the arrival rate; before {@link #updatePlan}. */
     void updateRate(long nowNanos) {
-        double seconds = (nowNanos - rateUpdatedNanos) / NANOS_PER_SECOND;
-        if (seconds <= 0) {
-            return;
-        }
-        double weight = 1 - Math.exp(-seconds / RATE_TIME_CONSTANT_SECONDS);
-        requestsPerSecond += weight * (arrivals / seconds - requestsPerSecond);
-        arrivals = 0;
-        rateUpdatedNanos = nowNanos;
+        demand.updateRate(nowNanos);
     }
 
-    /** Returns the mean number of slots in use by this host's requests. */
-    double busySlots() {
-        return requestsPerSecond * processingTimes.meanMillis() / MILLIS_PER_SECOND;
+    /** Updates the shares of the regions from the slots that the callers of each region keep busy. */
+    void updatePlan(Map<String, Double> busySlots, long nowNanos) {
+        plan.update(dispatcher, busySlots, demand.recentObjects(nowNanos), nowNanos);
     }
 
     /** Adds a request to the queue. */
     void enqueue(CallerRequest request) {
-        queue.add(request);
+        waiting.add(request);
     }
 
     void dequeue(CallerRequest request) {
-        queue.remove(request);
+        waiting.remove(request);
     }
 
-    /** Tries to send the queued requests, those of the highest rank first. */
+    /** Tries to send the first of the queued requests. */
     void sendQueued() {
-        if (queue.isEmpty()) {
-            return;
-        }
-        List<CallerRequest> ordered = new ArrayList<>(queue);
-        ordered.sort(Comparator.comparingInt(CallerRequest::priority).thenComparingLong(CallerRequest::arrivedNanos));
-        for (CallerRequest request : ordered) {
-            if (queue.contains(request) && request.trySend()) {
-                queue.remove(request);
-            }
-        }
+        waiting.sendFirst(CallerRequest::trySend);
     }
 }
--- a/host/src/main/java/io/carawaylift/host/StoreConnections.java
+++ b/host/src/main/java/io/carawaylift/host/StoreConnections.java
@@ -1,5 +1,6 @@
 package io.carawaylift.host;
 
+import io.carawaylift.host.OutboundConnection.ResponseLimits;
 import io.carawaylift.model.RecordBytes;
 import io.carawaylift.platform.store.StoreTransport;
 import io.netty.buffer.ByteBufUtil;
@@ -21,6 +22,14 @@
     /** Several round trips between regions. */
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** A page of a list has about one megabyte at most. */
+    private static final long MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
+    /** Responses to the calls of a few kinds at once. */
+    private static final long MAX_BUFFERED_BYTES = 4 * MAX_RESPONSE_BYTES;
+
+    private final ResponseLimits limits = new ResponseLimits(MAX_RESPONSE_BYTES, new BufferBudget(MAX_BUFFERED_BYTES));
+
     private final HostLoop loop;
     private final InetSocketAddress address;
     private final HostMetrics metrics;
@@ -40,7 +49,7 @@
         if (connection != null) {
             send(connection, request(method, target, body), timeout, result);
         } else {
-            OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, (opened, reason) -> {
+            OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, limits, (opened, reason) -> {
                 if (opened == null) {
                     result.completeExceptionally(new IOException("no connection to the store: " + reason));
                 } else {
@@ -66,7 +75,7 @@
             public void responseReceived(OutboundResponse response) {
                 timer.cancel();
                 RecordBytes bytes = RecordBytes.copyOf(ByteBufUtil.getBytes(response.body()));
-                response.body().release();
+                response.discard();
                 release(connection);
                 result.complete(new Response(response.status(), bytes));
             }
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -8,6 +8,7 @@
 import io.carawaylift.platform.store.ConfigurationDecoder;
 import io.carawaylift.platform.store.EndpointDecoder;
 import io.carawaylift.platform.store.ObjectStoreClient;
+import io.carawaylift.platform.store.ObjectStoreClient.ListMode;
 import io.carawaylift.platform.store.StoreItem;
 import io.carawaylift.platform.store.StoreKinds;
 import java.util.HashMap;
@@ -50,10 +51,32 @@
         this.endpointDecoder = new EndpointDecoder(regionsByZone);
         this.watchers = List.of(
                 new KindWatcher(
-                        StoreKinds.CONFIGURATIONS, store, retries, relay, loop, log, new ConfigurationListener()),
-                new KindWatcher(StoreKinds.ENDPOINTS, store, retries, relay, loop, log, new EndpointListener()),
+                        StoreKinds.CONFIGURATIONS,
+                        ListMode.LATEST,
+                        store,
+                        retries,
+                        relay,
+                        loop,
+                        log,
+                        new ConfigurationListener()),
                 new KindWatcher(
-                        StoreKinds.EVACUATED_ZONES, store, retries, relay, loop, log, new EvacuationListener()));
+                        StoreKinds.ENDPOINTS,
+                        ListMode.MAY_BE_OLD,
+                        store,
+                        retries,
+                        relay,
+                        loop,
+                        log,
+                        new EndpointListener()),
+                new KindWatcher(
+                        StoreKinds.EVACUATED_ZONES,
+                        ListMode.LATEST,
+                        store,
+                        retries,
+                        relay,
+                        loop,
+                        log,
+                        new EvacuationListener()));
     }
 
     /** Sets the action that runs for an endpoint that must not be used any more. */
--- a/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
+++ b/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
@@ -73,6 +73,38 @@
         assertThat(status("GET", "/safe/1")).isEqualTo(200);
     }
 
+    /** Guards against an endpoint that left before a host started and is used again because the host read an old list. */
+    @Test
+    void anEndpointThatLeftIsNotUsedByAHostThatReadAnOldList() throws IOException {
+        ScriptedEndpoint gone = fixture.addEndpoint("e-1");
+        ScriptedEndpoint there = fixture.addEndpoint("e-2");
+        fixture.configure(1);
+        awaitReady();
+        fixture.store().keepForOldLists();
+        fixture.store().delete("servers", "e-1");
+        try (HostFixture restarted = new HostFixture(fixture.store(), "host-2")) {
+            restarted.awaitLine("store.listed", "servers");
+            HostFixture.await(() -> isReady(restarted));
+            try (RawCaller caller = restarted.caller()) {
+                for (int i = 0; i < 20; i++) {
+                    assertThat(caller.call("GET", "/safe/" + i, "id-" + i, "X-Affinity-Key: k" + i)
+                                    .status())
+                            .isEqualTo(200);
+                }
+            }
+        }
+        assertThat(gone.requests()).isEmpty();
+        assertThat(there.requests()).hasSize(20);
+    }
+
+    private static boolean isReady(HostFixture host) {
+        try {
+            return host.readiness() == 200;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Guards against an invalid entry of another writer that adds or removes endpoints. */
     @Test
     void anInvalidEntryIsIgnoredAndOtherEndpointsStayInUse() throws IOException {
@@ -201,6 +233,33 @@
         }
     }
 
+    /**
+     * Guards against a foreign entry among the hosts that ends the reports of every host, and with them lookups and
+     * orderly stops.
+     */
+    @Test
+    void anEntryOfAHostWithoutAValidAddressIsIgnored() throws IOException {
+        fixture.addEndpoint("e-1");
+        fixture.configure(1);
+        awaitReady();
+        for (String address : new String[] {"nonsense", "10.0.0.1:", ":80", "10.0.0.1:99999", "10.0.0.1:8x"}) {
+            fixture.store()
+                    .put(
+                            "carawaylift-hosts",
+                            "foreign-" + address.length(),
+                            "{\"address\":\"%s\",\"region\":\"region-a\"}".formatted(address));
+        }
+        fixture.awaitLine("member.entry_ignored", "foreign-8");
+        fixture.awaitLine("member.entry_ignored", "foreign-14");
+        try (HostFixture second = new HostFixture(fixture.store(), "host-2")) {
+            // Both hosts find each other, so the reports go on.
+            fixture.awaitLine("dependency.regained", "host-2");
+            assertThat(isReady(second)).isTrue();
+        }
+
+        assertThat(fixture.hasLine("\"event\":\"fault\"")).isFalse();
+    }
+
     /** Guards against a host that the other hosts cannot find. */
     @Test
     void aHostRegistersItself() {
--- /dev/null
+++ b/host/src/test/java/io/carawaylift/host/StopUnderLoadTest.java
@@ -0,0 +1,122 @@
+package io.carawaylift.host;
+
+import static com.google.common.truth.Truth.assertThat;
+import static io.carawaylift.standin.ScriptedEndpoint.ok;
+import static io.carawaylift.standin.ScriptedEndpoint.write;
+
+import io.carawaylift.standin.RawCaller;
+import io.carawaylift.standin.ScriptedEndpoint;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A planned stop while callers keep sending and read slowly. */
+final class StopUnderLoadTest {
+    private static final int GRACE_SECONDS = 6;
+
+    private HostFixture fixture;
+    private ScriptedEndpoint endpoint;
+
+    @BeforeEach
+    void start() throws IOException {
+        fixture = new HostFixture(GRACE_SECONDS);
+        fixture.configure(1, "service", 6000);
+        endpoint = fixture.addEndpoint("e-1");
+        fixture.awaitLine("endpoint.listed", "e-1");
+        fixture.awaitLine("configuration.in_force");
+        HostFixture.await(() -> {
+            try {
+                return fixture.readiness() == 200;
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fixture.close();
+    }
+
+    /** Guards against a large response that is cut off because its caller has not read it yet when the host stops. */
+    @Test
+    void aResponseThatIsBeingReadSlowlyIsCompletedBeforeTheStop() throws Exception {
+        int length = 6 * 1024 * 1024;
+        endpoint.script((request, connection) -> write(connection, ok(request.id(), "x".repeat(length))));
+        try (RawCaller caller = fixture.caller()) {
+            caller.send("GET", "/download/1", "id-1", "");
+            fixture.awaitLine("\"event\":\"request\"", "id-1");
+            CompletableFuture<Void> stop = CompletableFuture.runAsync(fixture::stopHost);
+            fixture.awaitLine("stopping");
+            // Longer than the time in which a stopping host accepts requests.
+            Thread.sleep(3200);
+            RawCaller.Response response = caller.read();
+
+            assertThat(response.status()).isEqualTo(200);
+            assertThat(response.complete()).isTrue();
+            stop.join();
+        }
+    }
+
+    /** Guards against requests that were accepted during a stop and get no answer. */
+    @Test
+    void everyRequestThatWasPassedOnDuringAStopIsAnswered() throws Exception {
+        endpoint.script((request, connection) -> {
+            Thread.sleep(300);
+            ScriptedEndpoint.respondOk(request, connection);
+        });
+        AtomicInteger answered = new AtomicInteger();
+        List<String> unanswered = new ArrayList<>();
+        List<Thread> callers = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            String name = "caller-" + i;
+            Thread thread = new Thread(() -> callUntilRefused(name, answered, unanswered), name);
+            thread.start();
+            callers.add(thread);
+        }
+        HostFixture.await(() -> answered.get() > 12);
+        fixture.stopHost();
+        for (Thread thread : callers) {
+            thread.join(10_000);
+        }
+
+        List<String> passedOn = endpoint.requests().stream()
+                .map(ScriptedEndpoint.Request::id)
+                .filter(unanswered::contains)
+                .toList();
+        assertThat(passedOn).isEmpty();
+        assertThat(answered.get()).isGreaterThan(24);
+    }
+
+    /** Sends one request after the other, each on a new connection, until the host accepts none. */
+    private void callUntilRefused(String name, AtomicInteger answered, List<String> unanswered) {
+        for (int i = 0; ; i++) {
+            String id = name + "-" + i;
+            try (RawCaller caller = fixture.caller()) {
+                int status = caller.call("POST", "/unsafe/1", id).status();
+                if (status == 0) {
+                    synchronized (unanswered) {
+                        unanswered.add(id);
+                    }
+                } else {
+                    answered.incrementAndGet();
+                }
+            } catch (ConnectException e) {
+                return;
+            } catch (SocketException e) {
+                synchronized (unanswered) {
+                    unanswered.add(id);
+                }
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+}
--- a/runtime/src/main/java/io/carawaylift/runtime/Program.java
+++ b/runtime/src/main/java/io/carawaylift/runtime/Program.java
@@ -60,10 +60,15 @@
         Thread hook = new Thread(
                 () -> {
                     log.log(Level.INFO, "stopping");
-                    service.stop();
-                    log.log(Level.INFO, "stopped");
-                    // Otherwise the exit status would be that of the signal, which looks like a failure.
-                    Runtime.getRuntime().halt(0);
+                    try {
+                        service.stop();
+                        log.log(Level.INFO, "stopped");
+                    } catch (RuntimeException e) {
+                        log.log(Level.ERROR, "the stop failed", e);
+                    } finally {
+                        // Otherwise the exit status would be that of the signal, which looks like a failure.
+                        Runtime.getRuntime().halt(0);
+                    }
                 },
                 "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
--- a/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
+++ b/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
@@ -35,6 +35,7 @@
     private long oldestKnownRevision;
     private int rejectionStatus;
     private int callCount;
+    private Map<String, TreeMap<String, ObjectNode>> oldObjectsByKind;
 
     private record Event(long revision, String kind, ObjectNode object, boolean deleted) {}
 
@@ -85,6 +86,12 @@
         notifyAll();
     }
 
+    /** Answers lists that may be old with the objects as they are now, until this is called again. */
+    public synchronized void keepForOldLists() {
+        oldObjectsByKind = new HashMap<>();
+        objectsByKind.forEach((kind, objects) -> oldObjectsByKind.put(kind, new TreeMap<>(objects)));
+    }
+
     /** Returns the number of calls received so far. */
     public synchronized int callCount() {
         return callCount;
@@ -148,7 +155,9 @@
         String after = query.containsKey("after") ? query.get("after").get(0) : "";
         ObjectNode page = mapper.createObjectNode();
         ArrayNode items = page.putArray("items");
-        TreeMap<String, ObjectNode> objects = objectsByKind.getOrDefault(kind, new TreeMap<>());
+        boolean mayBeOld = query.containsKey("serializable") && oldObjectsByKind != null;
+        TreeMap<String, ObjectNode> objects =
+                (mayBeOld ? oldObjectsByKind : objectsByKind).getOrDefault(kind, new TreeMap<>());
         for (ObjectNode object : objects.tailMap(after, false).values()) {
             if (items.size() < PAGE_SIZE) {
                 items.add(object);
