--- a/host/src/main/java/io/carawaylift/host/HostMetrics.java
+++ b/host/src/main/java/io/carawaylift/host/HostMetrics.java
@@ -35,6 +35,13 @@
                 .increment();
     }
 
+    /** Returns the sum of a counter over all values of its tags. */
+    double total(String name) {
+        return registry.find(name).counters().stream()
+                .mapToDouble(Counter::count)
+                .sum();
+    }
+
     /** Records a latency; {@code tags} alternates between names and values. */
     void time(String name, long nanos, String... tags) {
         timers.computeIfAbsent(
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -171,6 +171,10 @@
         return lookupAddress;
     }
 
+    HostMetrics metrics() {
+        return metrics;
+    }
+
     /** Returns the port for the other hosts; known after the start. */
     int peerPort() {
         return membership.port();
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -11,6 +11,7 @@
 import io.carawaylift.platform.store.StoreChanges;
 import io.carawaylift.platform.store.StoreException;
 import io.carawaylift.platform.store.StoreItem;
+import io.carawaylift.platform.store.StoreKinds;
 import io.carawaylift.platform.store.StorePage;
 import java.io.IOException;
 import java.time.Duration;
@@ -41,7 +42,13 @@
     private static final Duration CONFIRMING_WATCH_TIMEOUT = Duration.ofSeconds(1);
 
     /** Delay before the next watch after a change, so that changes close together cost one call. */
-    private static final long COALESCE_MILLIS = 150;
+    private static final long COALESCE_MILLIS = 300;
+
+    /** The same for the other hosts, all of which register when a fleet starts; nothing waits for their entries. */
+    private static final long COALESCE_HOSTS_MILLIS = 1500;
+
+    /** Time in which the other hosts of a region send the objects to a host that starts. */
+    private static final long OBJECTS_FROM_HOSTS_MILLIS = 300;
 
     /**
      * Age after which a confirmation expires and the host watches the store itself: one confirming watch plus some
@@ -84,9 +91,14 @@
     private long revision;
     private long confirmedNanos;
     private boolean everConfirmed;
+    private boolean confirmedByHost;
     private boolean fullyLoaded;
     private boolean storeAvailable = true;
     private boolean followsHost;
+
+    /** Whether a call is in flight or scheduled, each of which leads to the next one. */
+    private boolean following;
+
     private boolean stopped;
 
     /** Receives the objects of the kind on the event loop. */
@@ -138,7 +150,25 @@
 
     void start() {
         startedNanos = System.nanoTime();
-        list(firstList, "", Long.MAX_VALUE, new ArrayList<>());
+        if (firstList == ObjectStoreClient.ListMode.MAY_BE_OLD) {
+            loop.after(OBJECTS_FROM_HOSTS_MILLIS, this::followUnlessFollowing);
+        } else {
+            following = true;
+            list();
+        }
+    }
+
+    /** Starts to follow the store: from a list, unless another host has sent the objects. */
+    private void followUnlessFollowing() {
+        if (following) {
+            return;
+        }
+        following = true;
+        if (fullyLoaded) {
+            continueFollowing();
+        } else {
+            list(firstList, "", Long.MAX_VALUE, new ArrayList<>());
+        }
     }
 
     /** Stops after the call in flight. */
@@ -232,6 +262,12 @@
         }
         loaded("store", items.size());
         relay.sendPositions();
+        followAfterStart();
+    }
+
+    /** Gives the relay of the region the time to confirm the objects, so that not every host of a fleet watches. */
+    private void followAfterStart() {
+        confirmed(false);
         continueFollowing();
     }
 
@@ -262,7 +298,7 @@
         }
         long remainingNanos = CONFIRMATION_LIFETIME_NANOS - (System.nanoTime() - confirmedNanos);
         boolean confirmed = everConfirmed && remainingNanos > 0 && !relay.isRelay();
-        setFollowsHost(confirmed);
+        setFollowsHost(confirmed && confirmedByHost);
         if (confirmed) {
             loop.after(TimeUnit.NANOSECONDS.toMillis(remainingNanos) + 1, this::continueFollowing);
         } else {
@@ -291,7 +327,9 @@
                 applyWatchResult(changes, graceMillis);
                 if (!fullyLoaded) {
                     loaded("store", table.all().size());
+                    confirmed(false);
                 }
+                continueAfter(changes);
                 if (System.nanoTime() - sentNanos < wait.toNanos() + MAX_RESPONSE_DELAY_NANOS) {
                     relay.sendPositions();
                 }
@@ -327,10 +365,14 @@
         }
         revision = Math.max(revision, changes.revision());
         relay.forwardChanges(kind, appliedChanges);
+    }
+
+    private void continueAfter(StoreChanges changes) {
         if (changes.changes().isEmpty()) {
             continueFollowing();
         } else {
-            loop.after(COALESCE_MILLIS, this::continueFollowing);
+            boolean ofHosts = kind.equals(StoreKinds.HOSTS);
+            loop.after(ofHosts ? COALESCE_HOSTS_MILLIS : COALESCE_MILLIS, this::continueFollowing);
         }
     }
 
@@ -374,15 +416,29 @@
         }
         if (!fullyLoaded) {
             revision = Math.max(revision, position.revision());
+            if (!current && storeAvailable) {
+                // What left since that host knew must not be used; the watch tells.
+                if (!following) {
+                    following = true;
+                    watch();
+                }
+                return;
+            }
             loaded("host", table.all().size());
         }
         if (!current) {
             return;
         }
         revision = Math.max(revision, position.revision());
+        confirmed(true);
+        succeeded();
+    }
+
+    /** Records that the objects are those of the store now, as another host or the store itself has said. */
+    private void confirmed(boolean byHost) {
         confirmedNanos = System.nanoTime();
         everConfirmed = true;
-        succeeded();
+        confirmedByHost = byHost;
     }
 
     private static ObjectChange toChange(StoreItem item) {
