--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -379,7 +379,12 @@
     private void put(StoreItem item, List<ObjectChange> appliedChanges) {
         if (table.put(item.name(), item.revision(), item)) {
             appliedChanges.add(toChange(item));
-            listener.changed(item);
+            try {
+                listener.changed(item);
+            } catch (RuntimeException e) {
+                // One object that its reader cannot take must not end the reading of the others.
+                loop.logFault(e);
+            }
         }
     }
 
