Use one event queue for both kinds of virtual-time runs

Cause: the load model had a copy of the event queue of the measurements. Change: the measurements use that of the load model.

--- a/loadmodel/src/main/java/io/carawaylift/loadmodel/EventQueue.java
+++ b/loadmodel/src/main/java/io/carawaylift/loadmodel/EventQueue.java
@@ -3,8 +3,11 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
-/** Runs events in virtual time in nanoseconds. Events of the same time run in the order in which they were scheduled. */
-final class EventQueue {
+/**
+ * Runs events in virtual time in nanoseconds. Events of the same time run in the order in which they were scheduled. Not
+ * thread-safe.
+ */
+public final class EventQueue {
     private static final double NANOS_PER_MILLI = 1e6;
 
     private record Event(long timeNanos, long sequence, Runnable action) {}
@@ -14,13 +17,21 @@
     private long nowNanos;
     private long nextSequence;
 
-    long nowNanos() {
+    /** Creates a queue without events at time 0. */
+    public EventQueue() {}
+
+    /** Returns the current time. */
+    public long nowNanos() {
         return nowNanos;
     }
 
+    /** Schedules an action; a negative delay counts as 0. */
+    public void schedule(long delayNanos, Runnable action) {
+        events.add(new Event(nowNanos + Math.max(0, delayNanos), nextSequence++, action));
+    }
+
     void afterMillis(double delayMillis, Runnable action) {
-        long delayNanos = (long) (Math.max(0, delayMillis) * NANOS_PER_MILLI);
-        events.add(new Event(nowNanos + delayNanos, nextSequence++, action));
+        schedule((long) (delayMillis * NANOS_PER_MILLI), action);
     }
 
     /** Runs an action now and then periodically. */
@@ -29,8 +40,8 @@
         afterMillis(intervalMillis, () -> everyMillis(intervalMillis, action));
     }
 
-    /** Runs all events up to and including the given time. */
-    void runUntil(long endNanos) {
+    /** Runs all events up to and including the given time, which becomes the current time. */
+    public void runUntil(long endNanos) {
         while (!events.isEmpty() && events.peek().timeNanos() <= endNanos) {
             Event event = events.poll();
             nowNanos = event.timeNanos();
--- a/testing/src/main/java/io/carawaylift/testing/measure/ReplicaSpreadRun.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/ReplicaSpreadRun.java
@@ -2,6 +2,7 @@
 
 import io.carawaylift.decisions.replica.RecordDelta;
 import io.carawaylift.decisions.replica.ReplicaStore;
+import io.carawaylift.loadmodel.EventQueue;
 import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.RecordBytes;
 import io.carawaylift.model.RecordNames;
--- a/testing/src/main/java/io/carawaylift/testing/measure/SimulatedProcess.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/SimulatedProcess.java
@@ -1,5 +1,7 @@
 package io.carawaylift.testing.measure;
 
+import io.carawaylift.loadmodel.EventQueue;
+
 /** Base of a simulated process with a clock of its own. A paused process handles its events in order after the pause. */
 class SimulatedProcess {
     private final EventQueue events;
--- a/testing/src/main/java/io/carawaylift/testing/measure/SimulatedRegion.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/SimulatedRegion.java
@@ -1,5 +1,6 @@
 package io.carawaylift.testing.measure;
 
+import io.carawaylift.loadmodel.EventQueue;
 import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.Endpoint;
 import io.carawaylift.model.EndpointList;
--- a/testing/src/main/java/io/carawaylift/testing/measure/UnreliablePlatform.java
+++ b/testing/src/main/java/io/carawaylift/testing/measure/UnreliablePlatform.java
@@ -1,5 +1,6 @@
 package io.carawaylift.testing.measure;
 
+import io.carawaylift.loadmodel.EventQueue;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
