--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -47,9 +47,6 @@
     /** The same for the other hosts, all of which register when a fleet starts; nothing waits for their entries. */
     private static final long COALESCE_HOSTS_MILLIS = 1500;
 
-    /** Time in which the other hosts of a region send the objects to a host that starts. */
-    private static final long OBJECTS_FROM_HOSTS_MILLIS = 300;
-
     /**
      * Age after which a confirmation expires and the host watches the store itself: one confirming watch plus some
      * delay. A change is thus known well within the shortest time that the platform allows after accepting it, about
@@ -95,10 +92,6 @@
     private boolean fullyLoaded;
     private boolean storeAvailable = true;
     private boolean followsHost;
-
-    /** Whether a call is in flight or scheduled, each of which leads to the next one. */
-    private boolean following;
-
     private boolean stopped;
 
     /** Receives the objects of the kind on the event loop. */
@@ -150,25 +143,7 @@
 
     void start() {
         startedNanos = System.nanoTime();
-        if (firstList == ObjectStoreClient.ListMode.MAY_BE_OLD) {
-            loop.after(OBJECTS_FROM_HOSTS_MILLIS, this::followUnlessFollowing);
-        } else {
-            following = true;
-            list();
-        }
-    }
-
-    /** Starts to follow the store: from a list, unless another host has sent the objects. */
-    private void followUnlessFollowing() {
-        if (following) {
-            return;
-        }
-        following = true;
-        if (fullyLoaded) {
-            continueFollowing();
-        } else {
-            list(firstList, "", Long.MAX_VALUE, new ArrayList<>());
-        }
+        list(firstList, "", Long.MAX_VALUE, new ArrayList<>());
     }
 
     /** Stops after the call in flight. */
@@ -422,11 +397,7 @@
         if (!fullyLoaded) {
             revision = Math.max(revision, position.revision());
             if (!current && storeAvailable) {
-                // What left since that host knew must not be used; the watch tells.
-                if (!following) {
-                    following = true;
-                    watch();
-                }
+                // What left since that host knew must not be used; the list that is under way tells.
                 return;
             }
             loaded("host", table.all().size());
--- a/host/src/main/java/io/carawaylift/host/StoreRelay.java
+++ b/host/src/main/java/io/carawaylift/host/StoreRelay.java
@@ -98,10 +98,10 @@
         region.sendToAny(new Message.ObjectsRequest(kind));
     }
 
-    /** Requests the objects that this host does not have so far from a newly connected host. */
+    /** Requests the objects that this host could not read from the store so far from a newly connected host. */
     void connectionOpened(Connection connection) {
         for (KindWatcher watcher : watchers.values()) {
-            if (!watcher.isFullyLoaded()) {
+            if (!watcher.isFullyLoaded() && !watcher.isAvailable()) {
                 connection.send(new Message.ObjectsRequest(watcher.kind()));
             }
         }
