Spill and failures don't count under overload, far regions get less

Requests that run elsewhere find their objects cold, and a failure of a full endpoint says nothing of its state. Change: no spill above 75% utilization of the service and 2% instead of 4% below; failures count only at endpoints with a free slot; the own region's utilization grows with the round trip to the next region.

--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
@@ -80,6 +80,16 @@
         return shares;
     }
 
+    /** Returns the shortest known round trip to a region other than the given one in milliseconds, 0 if none is known. */
+    double nearestRoundTripMillis(String ownRegion) {
+        return regions.stream()
+                .filter(region -> !region.equals(ownRegion))
+                .mapToDouble(roundTripMillis)
+                .filter(millis -> millis > 0)
+                .min()
+                .orElse(0);
+    }
+
     /** Decides about a request and takes the permit of the endpoint if it is sent. */
     public Decision decide(DispatchRequest request, long nowNanos) {
         if (request.deadlineNanos() - nowNanos < processingTimes.expectedMillis(true) * NANOS_PER_MILLI) {
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServicePlan.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServicePlan.java
@@ -17,12 +17,25 @@
     /** Utilization of a service's slots that is assumed until traffic was measured. */
     private static final double ASSUMED_UTILIZATION = 0.6;
 
+    /**
+     * Utilization of the own region's slots up to which its requests stay, if other regions were at no distance. The
+     * remaining slots absorb short bursts.
+     */
+    private static final double BASE_LOCAL_UTILIZATION = 0.5;
+
+    /** Fraction of the target latency that a round trip to another region is assumed to take until it is known. */
+    private static final double ASSUMED_ROUND_TRIP = 0.15;
+
+    private static final double MAX_LOCAL_UTILIZATION = 0.75;
+
     private final String service;
     private final EndpointRegistry registry;
     private final String ownRegion;
+    private final double targetMillis;
 
-    /** Creates a plan for the requests of the callers of {@code ownRegion}. */
-    public ServicePlan(String service, EndpointRegistry registry, String ownRegion) {
+    /** Creates a plan for the requests of the callers of {@code ownRegion}, whose target latency is given. */
+    public ServicePlan(String service, EndpointRegistry registry, String ownRegion, double targetMillis) {
+        this.targetMillis = targetMillis;
         this.service = service;
         this.registry = registry;
         this.ownRegion = ownRegion;
@@ -38,6 +51,7 @@
         double perZone = ASSUMED_UTILIZATION * total / regionOfEachZone.size();
         Map<String, Double> demand = new TreeMap<>();
         regionOfEachZone.forEach(region -> demand.merge(region, perZone, Double::sum));
+        dispatcher.shares().setMaxOwnUtilization(maxLocalUtilization(dispatcher));
         dispatcher.shares().update(slots, demand, 1, nowNanos);
     }
 
@@ -48,9 +62,17 @@
      * @param recentObjects number of objects that were requested recently
      */
     public void update(ServiceDispatcher dispatcher, Map<String, Double> busySlots, int recentObjects, long nowNanos) {
+        dispatcher.shares().setMaxOwnUtilization(maxLocalUtilization(dispatcher));
         dispatcher.shares().update(usableSlots(nowNanos), busySlots, maxLocalFraction(recentObjects), nowNanos);
     }
 
+    /** Returns the utilization up to which requests stay: the farther the next region is, the more they may wait here. */
+    private double maxLocalUtilization(ServiceDispatcher dispatcher) {
+        double roundTripMillis = dispatcher.nearestRoundTripMillis(ownRegion);
+        double fraction = roundTripMillis > 0 ? roundTripMillis / targetMillis : ASSUMED_ROUND_TRIP;
+        return Math.min(MAX_LOCAL_UTILIZATION, BASE_LOCAL_UTILIZATION + fraction);
+    }
+
     /** Returns the fraction of the requests whose objects fit the caches of the own region's endpoints, at most 1. */
     private double maxLocalFraction(int recentObjects) {
         long endpoints = registry.usable(service).stream()
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -114,8 +114,14 @@
         loadReportedNanos = nowNanos;
     }
 
-    /** Records whether a request succeeded; a request that the endpoint rejected did not. */
+    /**
+     * Records whether a request succeeded; a request that the endpoint rejected did not. A failure of an endpoint
+     * without a free slot is not recorded: its load, not its state, explains it.
+     */
     public void outcome(boolean succeeded, long nowNanos) {
+        if (!succeeded && load(nowNanos) >= entry.slots()) {
+            return;
+        }
         failureFraction = failureFraction(nowNanos);
         failureFraction += FAILURE_WEIGHT * ((succeeded ? 0 : 1) - failureFraction);
         outcomeNanos = nowNanos;
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
@@ -17,18 +17,25 @@
     private static final double MAX_DEBT_REQUESTS = 3;
 
     /** Fraction of the requests that may run outside the region that was planned for them. */
-    private static final double SPILL_FRACTION = 0.04;
+    private static final double SPILL_FRACTION = 0.02;
+
+    /**
+     * Utilization of all slots above which none may: their objects are not cached elsewhere, which takes more capacity
+     * than it gives.
+     */
+    private static final double MAX_SPILL_UTILIZATION = 0.75;
 
     /** Requests that may do so at once. */
     private static final double MAX_SPILL_BURST = 2;
 
     private final String ownRegion;
-    private final double maxOwnUtilization;
+    private double maxOwnUtilization;
     private double maxChangePerSecond;
     private final Map<String, Double> shares = new TreeMap<>();
     private final Map<String, Double> credits = new HashMap<>();
     private long updatedNanos;
     private double spillCredit;
+    private double utilization;
 
     /**
      * Creates shares that keep all requests in {@code ownRegion} until the first update.
@@ -42,6 +49,11 @@
         this.maxChangePerSecond = maxChangePerSecond;
     }
 
+    /** Sets the fraction of a region's slots up to which requests stay in their own region. */
+    public void setMaxOwnUtilization(double fraction) {
+        maxOwnUtilization = fraction;
+    }
+
     /** Sets the share that may move to another region per second. */
     public void setMaxChangePerSecond(double share) {
         maxChangePerSecond = share;
@@ -55,6 +67,7 @@
      * @param maxOwnShare share of the requests whose objects the endpoints of the own region can cache
      */
     public void update(Map<String, Double> slots, Map<String, Double> demand, double maxOwnShare, long nowNanos) {
+        utilization = sum(demand) / Math.max(1, sum(slots));
         Map<String, Double> targetShares = targetShares(slots, demand, maxOwnShare);
         if (shares.isEmpty()) {
             shares.putAll(targetShares);
@@ -110,7 +123,7 @@
      * fraction of the requests may, so that the shares of short windows stay steady.
      */
     public boolean trySpill() {
-        if (spillCredit < 1) {
+        if (spillCredit < 1 || utilization > MAX_SPILL_UTILIZATION) {
             return false;
         }
         spillCredit--;
@@ -124,17 +137,15 @@
 
     private Map<String, Double> targetShares(
             Map<String, Double> slots, Map<String, Double> demand, double maxOwnShare) {
-        double totalSlots = sum(slots);
-        double totalDemand = sum(demand);
-        double utilization = Math.max(maxOwnUtilization, totalDemand / Math.max(1, totalSlots));
+        double plannedUtilization = Math.max(maxOwnUtilization, utilization);
         double ownDemand = demand.getOrDefault(ownRegion, 0.0);
-        double ownCapacity = utilization * slots.getOrDefault(ownRegion, 0.0);
+        double ownCapacity = plannedUtilization * slots.getOrDefault(ownRegion, 0.0);
         double ownShare = Math.min(maxOwnShare, ownDemand <= ownCapacity ? 1 : ownCapacity / ownDemand);
         Map<String, Double> targetShares = new TreeMap<>();
         targetShares.put(ownRegion, ownShare);
         Map<String, Double> freeSlots = new TreeMap<>();
         for (Map.Entry<String, Double> region : slots.entrySet()) {
-            double free = utilization * region.getValue() - demand.getOrDefault(region.getKey(), 0.0);
+            double free = plannedUtilization * region.getValue() - demand.getOrDefault(region.getKey(), 0.0);
             if (!region.getKey().equals(ownRegion) && free > 0) {
                 freeSlots.put(region.getKey(), free);
             }
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -28,11 +28,8 @@
 
 /** Starts the processing of callers' requests and holds the state that they share. Used on the event loop only. */
 final class Forwarder implements CallerConnection.Handler {
-    /**
-     * Fraction of a region's slots up to which requests stay in the region; the remaining capacity absorbs short
-     * bursts.
-     */
-    private static final double MAX_LOCAL_UTILIZATION = 0.5;
+    /** Fraction of a region's slots up to which requests stay in the region until the first plan. */
+    private static final double INITIAL_LOCAL_UTILIZATION = 0.65;
 
     /**
      * Fraction of the max region shift that is used per second. The shift is measured between windows of two seconds,
@@ -176,13 +173,13 @@
                 .picker(picker)
                 .processingTimes(new ProcessingTimes(targetMillis))
                 .shares(new RegionShares(
-                        ownRegion(), MAX_LOCAL_UTILIZATION, limits.maxRegionShift() * SHIFT_FRACTION_PER_SECOND))
+                        ownRegion(), INITIAL_LOCAL_UTILIZATION, limits.maxRegionShift() * SHIFT_FRACTION_PER_SECOND))
                 .regions(regions)
                 .roundTripMillis(this::roundTripMillis)
                 .coldRate(() -> coldRate(service))
                 .mayWarmUp(this::mayWarmUp)
                 .build();
-        ServicePlan plan = new ServicePlan(service, registry, ownRegion());
+        ServicePlan plan = new ServicePlan(service, registry, ownRegion(), targetMillis);
         plan.start(dispatcher, options.regionsByZone().values(), now);
         SharedRetryBudget retries = new SharedRetryBudget(
                 limits.retryRatio(),
