--- a/loadmodel/src/main/java/io/carawaylift/loadmodel/LoadResult.java
+++ b/loadmodel/src/main/java/io/carawaylift/loadmodel/LoadResult.java
@@ -2,18 +2,13 @@
 
 import java.util.Map;
 import java.util.TreeMap;
-import org.HdrHistogram.Histogram;
 
 /** Counts of the requests of a run by how they ended for their callers. */
 public final class LoadResult {
-    private static final long MAX_LATENCY_MILLIS = 60_000;
-    private static final int DIGITS = 2;
-
     private final Tally all = new Tally();
     private final Map<String, Tally> byService = new TreeMap<>();
     private final Map<String, Tally> byZone = new TreeMap<>();
     private final Map<Integer, Tally> bySecond = new TreeMap<>();
-    private final Map<String, Histogram> latencies = new TreeMap<>();
     private final Map<String, int[]> starts = new TreeMap<>();
     private final Map<String, Map<Integer, Map<String, Integer>>> runsByRegion = new TreeMap<>();
     private final Map<String, Map<Integer, Integer>> coldArrivals = new TreeMap<>();
@@ -41,20 +36,10 @@
             return total() == 0 ? 1 : (double) (inTime + late) / total();
         }
 
-        /** Returns the requests answered after the target latency. */
-        public int late() {
-            return late;
-        }
-
         /** Returns the requests that were refused and did not run. */
         public int refused() {
             return refused;
         }
-
-        /** Returns the requests without an answer. */
-        public int failed() {
-            return failed;
-        }
     }
 
     enum End {
@@ -64,7 +49,7 @@
         FAILED
     }
 
-    void record(String service, String zone, int second, End end, double millis) {
+    void record(String service, String zone, int second, End end) {
         for (Tally tally : new Tally[] {
             all,
             byService.computeIfAbsent(service, key -> new Tally()),
@@ -78,9 +63,6 @@
                 case FAILED -> tally.failed++;
             }
         }
-        latencies
-                .computeIfAbsent(service, key -> new Histogram(MAX_LATENCY_MILLIS, DIGITS))
-                .recordValue((long) Math.min(millis, MAX_LATENCY_MILLIS));
     }
 
     void recordStarts(String service, int started, int uncached) {
@@ -184,12 +166,6 @@
         return counts == null || counts[0] == 0 ? 0 : (double) counts[1] / counts[0];
     }
 
-    /** Returns a latency percentile of the requests for a service in milliseconds. */
-    public long latencyMillis(String service, double percentile) {
-        Histogram histogram = latencies.get(service);
-        return histogram == null ? 0 : histogram.getValueAtPercentile(percentile);
-    }
-
     /** Returns the lowest fraction in time of the windows of a length, in seconds, from {@code fromSecond} on. */
     public double worstWindow(int seconds, int fromSecond) {
         double worst = 1;
--- a/loadmodel/src/main/java/io/carawaylift/loadmodel/LoadRun.java
+++ b/loadmodel/src/main/java/io/carawaylift/loadmodel/LoadRun.java
@@ -94,7 +94,7 @@
         for (ServiceModel service : fleet.services()) {
             for (String zone : fleet.zones()) {
                 for (int i = 0; i < service.endpointsByZone().getOrDefault(zone, 0); i++) {
-                    addEndpoint(service, zone, 0);
+                    addEndpoint(service, zone);
                 }
             }
         }
@@ -179,12 +179,11 @@
             double millis = (events.nowNanos() - firstNanos) / NANOS_PER_MILLI;
             LoadResult.End counted =
                     end == LoadResult.End.IN_TIME && millis > service.targetMillis() ? LoadResult.End.LATE : end;
-            result.record(service.name(), zone, (int) (firstNanos / NANOS_PER_SECOND), counted, millis);
+            result.record(service.name(), zone, (int) (firstNanos / NANOS_PER_SECOND), counted);
         });
     }
 
-    /** Adds an endpoint that is cold for some milliseconds. */
-    void addEndpoint(ServiceModel service, String zone, long coldMillis) {
+    private void addEndpoint(ServiceModel service, String zone) {
         String id = service.name() + "-" + nextEndpoint++;
         EndpointEntry entry = new EndpointEntry(
                 id,
@@ -196,7 +195,7 @@
                 fleet.regionsByZone().get(zone),
                 service.slots(),
                 false,
-                coldMillis);
+                0);
         endpoints.put(id, new ModelEndpoint(events, random.split(), service, entry));
         hosts.forEach(host -> host.registry().put(entry, events.nowNanos()));
     }
--- a/loadmodel/src/main/java/io/carawaylift/loadmodel/ModelEndpoint.java
+++ b/loadmodel/src/main/java/io/carawaylift/loadmodel/ModelEndpoint.java
@@ -23,7 +23,6 @@
     private int running;
     private double slowness = 1;
     private double failureProbability;
-    private boolean gone;
     private int started;
     private int uncached;
 
@@ -73,11 +72,6 @@
         cache.clear();
     }
 
-    /** Ends the endpoint; what it is working on gets no answer before the deadline. */
-    void remove() {
-        gone = true;
-    }
-
     /** Returns whether the endpoint is slow or fails requests. */
     boolean isChanged() {
         return slowness > 1 || failureProbability > 0;
@@ -92,9 +86,7 @@
     }
 
     void receive(String object, long deadlineNanos, Listener listener) {
-        if (gone) {
-            listener.ended(Outcome.REJECTED, 0, 0);
-        } else if (random.nextDouble() < failureProbability || queue.size() >= service.queueLimit()) {
+        if (random.nextDouble() < failureProbability || queue.size() >= service.queueLimit()) {
             listener.ended(Outcome.REJECTED, running, queue.size());
         } else {
             queue.addLast(new Work(object, deadlineNanos, listener));
@@ -115,7 +107,7 @@
             double untilDeadline = (work.deadlineNanos() - events.nowNanos()) / NANOS_PER_MILLI;
             events.afterMillis(Math.min(millis, untilDeadline), () -> {
                 running--;
-                Outcome outcome = millis <= untilDeadline && !gone ? Outcome.ANSWERED : Outcome.FAILED;
+                Outcome outcome = millis <= untilDeadline ? Outcome.ANSWERED : Outcome.FAILED;
                 work.listener().ended(outcome, running, queue.size());
                 startNext();
             });
