--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -88,7 +88,6 @@
     private long revision;
     private long confirmedNanos;
     private boolean everConfirmed;
-    private boolean confirmedByHost;
     private boolean fullyLoaded;
     private boolean storeAvailable = true;
     private boolean followsHost;
@@ -237,12 +236,6 @@
         }
         loaded("store", items.size());
         relay.sendPositions();
-        followAfterStart();
-    }
-
-    /** Gives the relay of the region the time to confirm the objects, so that not every host of a fleet watches. */
-    private void followAfterStart() {
-        confirmed(false);
         continueFollowing();
     }
 
@@ -273,7 +266,7 @@
         }
         long remainingNanos = CONFIRMATION_LIFETIME_NANOS - (System.nanoTime() - confirmedNanos);
         boolean confirmed = everConfirmed && remainingNanos > 0 && !relay.isRelay();
-        setFollowsHost(confirmed && confirmedByHost);
+        setFollowsHost(confirmed);
         if (confirmed) {
             loop.after(TimeUnit.NANOSECONDS.toMillis(remainingNanos) + 1, this::continueFollowing);
         } else {
@@ -302,7 +295,6 @@
                 applyWatchResult(changes, graceMillis);
                 if (!fullyLoaded) {
                     loaded("store", table.all().size());
-                    confirmed(false);
                 }
                 continueAfter(changes);
                 if (System.nanoTime() - sentNanos < wait.toNanos() + MAX_RESPONSE_DELAY_NANOS) {
@@ -406,15 +398,9 @@
             return;
         }
         revision = Math.max(revision, position.revision());
-        confirmed(true);
-        succeeded();
-    }
-
-    /** Records that the objects are those of the store now, as another host or the store itself has said. */
-    private void confirmed(boolean byHost) {
         confirmedNanos = System.nanoTime();
         everConfirmed = true;
-        confirmedByHost = byHost;
+        succeeded();
     }
 
     private static ObjectChange toChange(StoreItem item) {
