--- a/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
+++ b/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
@@ -73,6 +73,17 @@
         assertThat(status("GET", "/safe/1")).isEqualTo(200);
     }
 
+    /** Guards against a host that follows the store only some time after it has listed it. */
+    @Test
+    void anEndpointThatIsAddedRightAfterTheStartIsListedAtOnce() throws IOException {
+        fixture.awaitLine("store.listed", "servers");
+        long addedNanos = System.nanoTime();
+        fixture.addEndpoint("e-1");
+        fixture.awaitLine("endpoint.listed", "e-1");
+
+        assertThat(System.nanoTime() - addedNanos).isLessThan(1_000_000_000L);
+    }
+
     /** Guards against an endpoint that left before a host started and is used again because the host read an old list. */
     @Test
     void anEndpointThatLeftIsNotUsedByAHostThatReadAnOldList() throws IOException {
