Tell on the metrics page and in the log how old each kind's state and call are

Change: two gauges by kind, the age in dependency.lost and dependency.regained; the stand-in of the store can fall silent.

--- a/host/src/main/java/io/carawaylift/host/HostMetrics.java
+++ b/host/src/main/java/io/carawaylift/host/HostMetrics.java
@@ -53,9 +53,9 @@
                 .record(Duration.ofNanos(nanos));
     }
 
-    /** Registers a gauge that is read at each scrape. */
-    void gauge(String name, Supplier<Number> value) {
-        io.micrometer.core.instrument.Gauge.builder(name, value).register(registry);
+    /** Registers a gauge that is read at each scrape; {@code tags} alternates between names and values. */
+    void gauge(String name, Supplier<Number> value, String... tags) {
+        io.micrometer.core.instrument.Gauge.builder(name, value).tags(tags).register(registry);
     }
 
     /** Returns all metrics in the Prometheus text format. */
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -82,10 +82,16 @@
         metrics.gauge(
                 "carawaylift.configuration.version",
                 () -> storeView.table().map(RouteTable::version).orElse(0L));
+        relay.watchers().forEach(this::addGauges);
         metrics.gauge("carawaylift.buffers.bytes", buffers::usedBytes);
         metrics.gauge("carawaylift.log.dropped", log::droppedLines);
     }
 
+    private void addGauges(KindWatcher watcher) {
+        metrics.gauge("carawaylift.store.age.seconds", watcher::ageSeconds, "kind", watcher.kind());
+        metrics.gauge("carawaylift.store.call.age.seconds", watcher::callAgeSeconds, "kind", watcher.kind());
+    }
+
     @Override
     public void start() {
         callerAddress = callers.start(options.callers());
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -20,8 +20,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 
 /**
  * Follows the objects of one kind in the store: lists them, then watches for changes, and lists them again when the
@@ -69,6 +71,8 @@
     /** Time after the store is reachable again in which live writers renew entries that expired meanwhile. */
     private static final long ENTRY_RENEWAL_MILLIS = 2000;
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     /** Stands for an unknown revision of a page; lower than any revision. */
     private static final long NO_REVISION = 0;
 
@@ -92,6 +96,9 @@
     private boolean storeAvailable = true;
     private boolean followsHost;
     private boolean stopped;
+    private boolean callInFlight;
+    private long callSentNanos;
+    private long currentNanos;
 
     /** Receives the objects of the kind on the event loop. */
     interface Listener {
@@ -142,6 +149,7 @@
 
     void start() {
         startedNanos = System.nanoTime();
+        currentNanos = startedNanos;
         list(firstList, "", Long.MAX_VALUE, new ArrayList<>());
     }
 
@@ -160,6 +168,24 @@
         return storeAvailable;
     }
 
+    /** Returns the time in seconds since the store, or a host that follows it, last confirmed the known objects. */
+    double ageSeconds() {
+        return secondsSince(currentNanos);
+    }
+
+    /** Returns the time in seconds since the call in flight was sent, 0 if there is none. */
+    double callAgeSeconds() {
+        return callInFlight ? secondsSince(callSentNanos) : 0;
+    }
+
+    private static double secondsSince(long nanos) {
+        return (System.nanoTime() - nanos) / NANOS_PER_SECOND;
+    }
+
+    private static long millisSince(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+
     /** Returns the known revision and a digest of the objects, for comparison with another host. */
     ObjectPosition position() {
         return new ObjectPosition(kind, revision, table.digest());
@@ -180,7 +206,7 @@
         if (stopped) {
             return;
         }
-        loop.handle(store.list(kind, after, mode), (page, failure) -> {
+        call(store.list(kind, after, mode), (page, failure) -> {
             if (failure != null) {
                 failed(failure);
                 relay.requestObjects(kind);
@@ -202,6 +228,15 @@
         });
     }
 
+    private <T> void call(CompletableFuture<T> response, BiConsumer<T, Throwable> handler) {
+        callInFlight = true;
+        callSentNanos = System.nanoTime();
+        loop.handle(response, (value, failure) -> {
+            callInFlight = false;
+            handler.accept(value, failure);
+        });
+    }
+
     /**
      * Returns a revision that a page is not older than. A page that may be old states the current revision of the
      * store, so only its objects show how old it may be.
@@ -288,7 +323,7 @@
     private void watch() {
         Duration wait = watchTimeout();
         long sentNanos = System.nanoTime();
-        loop.handle(store.watch(kind, revision, wait), (changes, failure) -> {
+        call(store.watch(kind, revision, wait), (changes, failure) -> {
             if (failure == null) {
                 long graceMillis = storeAvailable ? 0 : graceMillis();
                 succeeded();
@@ -428,11 +463,13 @@
 
     private void succeeded() {
         retries.succeeded();
+        long ageMillis = millisSince(currentNanos);
+        currentNanos = System.nanoTime();
         if (!storeAvailable) {
             storeAvailable = true;
             log.event(
                     "dependency.regained",
-                    line -> line.put("dependency", "store").put("kind", kind));
+                    line -> line.put("dependency", "store").put("kind", kind).put("ageMs", ageMillis));
         }
     }
 
@@ -443,6 +480,7 @@
                     "dependency.lost",
                     line -> line.put("dependency", "store")
                             .put("kind", kind)
+                            .put("callAgeMs", millisSince(callSentNanos))
                             .put("reason", String.valueOf(cause(failure).getMessage())));
         }
     }
--- a/host/src/main/java/io/carawaylift/host/StoreRelay.java
+++ b/host/src/main/java/io/carawaylift/host/StoreRelay.java
@@ -5,6 +5,7 @@
 import io.carawaylift.peer.Message.ObjectChange;
 import io.carawaylift.peer.Message.ObjectPosition;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,11 @@
         watchers.put(watcher.kind(), watcher);
     }
 
+    /** Returns the watchers of all kinds. */
+    Collection<KindWatcher> watchers() {
+        return List.copyOf(watchers.values());
+    }
+
     boolean isRelay() {
         return region.isRelay();
     }
--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -100,8 +100,13 @@
     }
 
     void configure(long version, String service, int timeoutMillis) {
+        configure(version, service, timeoutMillis, List.of("safe", "unsafe", "download"));
+    }
+
+    /** Stores a configuration with one route for each kind, as {@code /safe/} for {@code safe}. */
+    void configure(long version, String service, int timeoutMillis, List<String> kinds) {
         StringBuilder rows = new StringBuilder();
-        for (String kind : List.of("safe", "unsafe", "download")) {
+        for (String kind : kinds) {
             rows.append(rows.isEmpty() ? "" : ",")
                     .append("[\"%s\",\"a.example\",\"/%s/\",\"%s\",%d,500,1,\"%s\",2,true]"
                             .formatted("route-" + kind, kind, kind, timeoutMillis, service));
@@ -162,6 +167,17 @@
         return host.peerPort();
     }
 
+    /** Returns a value of the metrics page; {@code series} is its name with labels. */
+    double metric(String series) {
+        return host.metrics()
+                .scrape()
+                .lines()
+                .filter(line -> line.startsWith(series + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(series.length() + 1)))
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no value of " + series));
+    }
+
     HostService host() {
         return host;
     }
--- a/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
+++ b/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
@@ -34,6 +34,8 @@
     private long revision = 1;
     private long oldestKnownRevision;
     private int rejectionStatus;
+    private boolean silent;
+    private int silences;
     private int callCount;
     private Map<String, TreeMap<String, ObjectNode>> oldObjectsByKind;
 
@@ -86,6 +88,20 @@
         notifyAll();
     }
 
+    /**
+     * Stops to answer: calls that wait, and calls from now on, never get a response, also after {@link #endSilence}.
+     */
+    public synchronized void silence() {
+        silent = true;
+        silences++;
+        notifyAll();
+    }
+
+    /** Answers further calls again. */
+    public synchronized void endSilence() {
+        silent = false;
+    }
+
     /** Answers lists that may be old with the objects as they are now, until this is called again. */
     public synchronized void keepForOldLists() {
         oldObjectsByKind = new HashMap<>();
@@ -144,7 +160,16 @@
 
     private record Response(int status, JsonNode body) {}
 
+    /** Blocks until the store is closed if it is silent, or was since the call for which {@code before} was read. */
+    private void holdIfSilent(int before) throws InterruptedException {
+        boolean unanswered = silent || silences != before;
+        while (unanswered) {
+            wait();
+        }
+    }
+
     private synchronized Response get(String kind, Map<String, List<String>> query) throws InterruptedException {
+        holdIfSilent(silences);
         if (rejectionStatus != 0) {
             return new Response(rejectionStatus, mapper.createObjectNode());
         }
@@ -169,7 +194,9 @@
 
     private Response watch(String kind, long fromRevision, long waitMillis) throws InterruptedException {
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
+        int silencesBefore = silences;
         while (true) {
+            holdIfSilent(silencesBefore);
             if (rejectionStatus != 0) {
                 return new Response(rejectionStatus, mapper.createObjectNode());
             }
@@ -191,7 +218,8 @@
         }
     }
 
-    private synchronized Response write(String kind, JsonNode object, boolean create) {
+    private synchronized Response write(String kind, JsonNode object, boolean create) throws InterruptedException {
+        holdIfSilent(silences);
         if (rejectionStatus != 0) {
             return new Response(rejectionStatus, mapper.createObjectNode());
         }
