Refuse a response whose head contains the start of another one

Cause: an endpoint that writes a part of an earlier refusal and continues with the next response makes one head of both: the refusal's X-Not-Executed (or status 421) with the id of a request that runs. It would have been refused as not run, or sent to a second endpoint. Evidence: OutboundConnectionTest.aRefusalThatComesAgain... failed after the part 'HTTP/1.1 503 No, X-Not-Executed:'. Change: on a connection in use again, a head with a second status line or two request ids is malformed; the request counts as possibly run. Result: the test passes for every part of five refusals; ForwardingTest passes.

--- a/host/src/main/java/io/carawaylift/host/OutboundConnection.java
+++ b/host/src/main/java/io/carawaylift/host/OutboundConnection.java
@@ -23,7 +23,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.Iterator;
+import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.regex.Pattern;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -53,6 +56,8 @@
     /** Fraction of the peer's idle timeout after which a connection is not reused. */
     private static final double USABLE_IDLE_FRACTION = 0.6;
 
+    private static final Pattern STATUS_LINE_START = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+
     private static final double NANOS_PER_SECOND = 1e9;
     private static final int MIN_FINAL_STATUS = 200;
     private static final int MAX_SUCCESS_STATUS = 299;
@@ -205,6 +210,10 @@
 
     private void begin(HttpResponse response) {
         int status = response.status().code();
+        if (requests > 1 && isMerged(response)) {
+            failAndClose("the head of the response contains the start of another one");
+            return;
+        }
         String echoed = response.headers().get(RequestHeaders.REQUEST_ID);
         boolean forOtherRequest = echoed != null && !expectedRequestId.isEmpty() && !echoed.equals(expectedRequestId);
         skippingResponse = status < MIN_FINAL_STATUS || forOtherRequest;
@@ -230,6 +239,25 @@
         body = new BodyBuffer(channel.alloc(), limits.budget(), HttpUtil.getContentLength(response, -1L));
     }
 
+    /**
+     * Returns whether a head contains the start of another one: part of a response to an earlier request, for example,
+     * that the endpoint continued with the next response.
+     */
+    private static boolean isMerged(HttpResponse response) {
+        if (response.headers().getAll(RequestHeaders.REQUEST_ID).size() > 1
+                || STATUS_LINE_START.matcher(response.status().reasonPhrase()).find()) {
+            return true;
+        }
+        for (Iterator<Map.Entry<CharSequence, CharSequence>> headers =
+                        response.headers().iteratorCharSequence();
+                headers.hasNext(); ) {
+            if (STATUS_LINE_START.matcher(headers.next().getValue()).find()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void add(HttpContent content) {
         if (skippingResponse) {
             skippingResponse = !(content instanceof LastHttpContent);
--- a/host/src/test/java/io/carawaylift/host/OutboundConnectionTest.java
+++ b/host/src/test/java/io/carawaylift/host/OutboundConnectionTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static io.carawaylift.standin.ScriptedEndpoint.notRun;
+import static io.carawaylift.standin.ScriptedEndpoint.ok;
 import static io.carawaylift.standin.ScriptedEndpoint.write;
 
 import io.carawaylift.host.OutboundConnection.ResponseLimits;
@@ -121,4 +123,36 @@
         endpoint.script((request, connection) -> write(connection, chunked));
         assertThat(send(connect(), "id")).isEqualTo(new Result(200, BODY, false));
     }
+
+    /**
+     * Guards against a refusal of an earlier request that is taken for the response to the next one, which the endpoint
+     * runs: also if only a part of it comes again, so that the next response continues its head.
+     */
+    @Test
+    void aRefusalThatComesAgainIsNotTheResponseToTheNextRequest() {
+        for (String refusal : List.of(
+                notRun(503), notRun(421), notRun(429), withId(notRun(503), "first"), withId(notRun(421), "first"))) {
+            for (int length = 1; length <= refusal.length(); length++) {
+                String part = refusal.substring(0, length);
+                endpoint.script((request, connection) ->
+                        write(connection, request.id().equals("first") ? refusal : part + ok(request.id(), BODY)));
+                OutboundConnection connection = connect();
+                assertThat(send(connection, "first").notRun()).isTrue();
+                Result result = send(connection, "second");
+
+                assertWithMessage("repeated: %s", part).that(result.notRun()).isFalse();
+                assertWithMessage("repeated: %s", part).that(result.body()).isAnyOf(BODY, "");
+                assertThat(endpoint.requests()
+                                .get(endpoint.requests().size() - 1)
+                                .connection())
+                        .isEqualTo(endpoint.requests()
+                                .get(endpoint.requests().size() - 2)
+                                .connection());
+            }
+        }
+    }
+
+    private static String withId(String response, String id) {
+        return response.replace("X-Not-Executed", "X-Request-Id: " + id + "\r\nX-Not-Executed");
+    }
 }
