Set aside one entry of the store that cannot be read, and follow the others

What callers saw: nothing so far; other operators reported hosts that ended or stopped following the endpoints because of one odd entry of another writer. Ports out of range and half characters were set aside before (there only the new metric was missing).

--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -77,6 +77,7 @@
         metrics.gauge("carawaylift.requests.open", forwarder::openRequests);
         metrics.gauge("carawaylift.callers.connections", callers::openConnections);
         metrics.gauge("carawaylift.endpoints", () -> registry.all().size());
+        metrics.gauge("carawaylift.endpoints.ignored", storeView::ignoredEntries);
         metrics.gauge("carawaylift.store.relay", () -> relay.isRelay() ? 1 : 0);
         metrics.gauge("carawaylift.hosts.alive", () -> membership.liveHosts().size() + 1);
         metrics.gauge(
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -31,6 +31,7 @@
     private final List<KindWatcher> watchers;
     private final Map<String, HostLoop.Timer> removals = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
+    private final Set<String> ignoredEntries = new HashSet<>();
     private Consumer<EndpointStatus> onUnusable = endpoint -> {};
     private Runnable onChange = () -> {};
     private RouteTable table;
@@ -102,6 +103,11 @@
         return Optional.ofNullable(table);
     }
 
+    /** Returns the number of entries of endpoints in the store that cannot be used. */
+    int ignoredEntries() {
+        return ignoredEntries.size();
+    }
+
     /** Returns whether enough is known to forward requests. */
     boolean isComplete() {
         return table != null && endpointsKnown && evacuationsKnown;
@@ -154,8 +160,11 @@
                 log.event(
                         "endpoint.entry_ignored",
                         line -> line.put("endpoint", item.name()).put("revision", item.revision()));
+                ignoredEntries.add(item.name());
+                remove(item.name(), "its entry is no longer valid");
                 return;
             }
+            ignoredEntries.remove(item.name());
             EndpointEntry entry = decoded.get();
             cancelRemoval(entry.id());
             Optional<EndpointStatus> before = registry.find(entry.id());
@@ -180,6 +189,7 @@
 
         @Override
         public void deleted(String name, long graceMillis) {
+            ignoredEntries.remove(name);
             if (graceMillis > 0) {
                 removals.put(name, loop.after(graceMillis, () -> remove(name, "not back after the store returned")));
             } else {
--- a/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
+++ b/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -66,6 +67,11 @@
         }
     }
 
+    /** Creates or replaces an object with a specification that need not be JSON that this program can read. */
+    public synchronized void putRaw(String kind, String name, String specification) {
+        store(kind, name, mapper.getNodeFactory().rawValueNode(new RawValue(specification)));
+    }
+
     /** Deletes an existing object. */
     public synchronized void delete(String kind, String name) {
         ObjectNode object = objectsByKind.get(kind).remove(name);
