Test the replacement of calls by kind, and evacuations and drains after a silence

Change: a test of two kinds over a transport without a network, one of evacuations and draining endpoints after a silence.

--- /dev/null
+++ b/host/src/test/java/io/carawaylift/host/KindWatcherTest.java
@@ -0,0 +1,151 @@
+package io.carawaylift.host;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.carawaylift.model.RecordBytes;
+import io.carawaylift.platform.store.ObjectStoreClient;
+import io.carawaylift.platform.store.ObjectStoreClient.ListMode;
+import io.carawaylift.platform.store.StoreItem;
+import io.carawaylift.platform.store.StoreTransport;
+import io.netty.channel.DefaultEventLoop;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Two kinds that are followed over a transport whose responses the test gives, or does not give. */
+final class KindWatcherTest {
+    private static final String NO_CHANGES = "{\"events\":[],\"at\":5}";
+    private static final String NO_OBJECTS = "{\"items\":[],\"at\":5}";
+
+    private final DefaultEventLoop eventLoop = new DefaultEventLoop();
+    private final EventLog log = new EventLog("host-1", OutputStream.nullOutputStream());
+    private final HostLoop loop = new HostLoop(eventLoop, log);
+    private final StoreRetries retries = new StoreRetries(loop);
+    private final StoreRelay relay = new StoreRelay("servers");
+    private final List<Call> calls = new CopyOnWriteArrayList<>();
+    private final ObjectStoreClient store = new ObjectStoreClient(this::send, Duration.ofSeconds(1));
+    private final List<String> changed = new ArrayList<>();
+    private Consumer<StoreItem> onChange = item -> changed.add(item.name());
+    private KindWatcher endpoints;
+    private KindWatcher configuration;
+
+    private record Call(String target, CompletableFuture<StoreTransport.Response> response) {}
+
+    private CompletableFuture<StoreTransport.Response> send(
+            String method, String target, RecordBytes body, Duration timeout) {
+        Call call = new Call(target, new CompletableFuture<>());
+        calls.add(call);
+        return call.response();
+    }
+
+    private KindWatcher watcher(String kind) {
+        KindWatcher.Listener listener = new KindWatcher.Listener() {
+            @Override
+            public void changed(StoreItem item) {
+                onChange.accept(item);
+            }
+
+            @Override
+            public void deleted(String name, long graceMillis) {}
+
+            @Override
+            public void synchronizedWithStore() {}
+        };
+        return new KindWatcher(kind, ListMode.LATEST, store, retries, relay, loop, log, listener);
+    }
+
+    @BeforeEach
+    void startAndListBothKinds() {
+        endpoints = watcher("servers");
+        configuration = watcher("config");
+        loop.runAndWait(endpoints::start);
+        loop.runAndWait(configuration::start);
+        respond(last("servers"), NO_OBJECTS);
+        respond(last("config"), NO_OBJECTS);
+    }
+
+    @AfterEach
+    void stop() {
+        eventLoop.shutdownGracefully().awaitUninterruptibly(1000);
+    }
+
+    private List<Call> calls(String kind) {
+        return calls.stream().filter(call -> call.target().contains("/" + kind)).toList();
+    }
+
+    private Call last(String kind) {
+        List<Call> ofKind = calls(kind);
+        return ofKind.get(ofKind.size() - 1);
+    }
+
+    private void respond(Call call, String body) {
+        loop.runAndWait(() -> call.response().complete(new StoreTransport.Response(200, RecordBytes.of(body))));
+    }
+
+    private Call awaitCall(String kind, int number) {
+        HostFixture.await(() -> calls(kind).size() >= number);
+        return calls(kind).get(number - 1);
+    }
+
+    private boolean isCurrent(KindWatcher watcher) {
+        boolean[] current = new boolean[1];
+        loop.runAndWait(() -> current[0] = watcher.isCurrent());
+        return current[0];
+    }
+
+    /**
+     * Guards against a configuration that is held up by a call from before the store responded again, and against
+     * telling other hosts that it is current before the replaced call is answered.
+     */
+    @Test
+    void aCallFromBeforeTheStoreRespondedAgainIsReplaced() {
+        Call silent = last("config");
+        loop.runAndWait(() -> last("servers").response().completeExceptionally(new IOException("no response")));
+        Call probe = awaitCall("servers", 3);
+        assertThat(probe.target()).contains("waitMs=1");
+        assertThat(last("config")).isEqualTo(silent);
+        respond(probe, NO_CHANGES);
+        Call replacement = awaitCall("config", 3);
+        assertThat(isCurrent(configuration)).isFalse();
+        respond(replacement, """
+                {"events":[{"object":{"metadata":{"name":"main","revision":6},"specification":{}}}],"at":6}""");
+
+        assertThat(changed).containsExactly("main");
+        assertThat(isCurrent(configuration)).isTrue();
+        respond(silent, """
+                {"events":[{"object":{"metadata":{"name":"late","revision":7},"specification":{}}}],"at":7}""");
+        assertThat(changed).containsExactly("main");
+    }
+
+    /** Guards against calls that multiply when the store refuses some, since a refusal shows that it responds. */
+    @Test
+    void aRefusedCallDoesNotReplaceOthers() {
+        Call waiting = last("config");
+        loop.runAndWait(
+                () -> last("servers").response().complete(new StoreTransport.Response(429, RecordBytes.of("{}"))));
+        respond(awaitCall("servers", 3), NO_CHANGES);
+        awaitCall("servers", 4);
+
+        assertThat(last("config")).isEqualTo(waiting);
+    }
+
+    /** Guards against a kind that is not followed any more because its reader failed on one object. */
+    @Test
+    void aReaderThatThrowsDoesNotEndTheCalls() {
+        onChange = item -> {
+            throw new StackOverflowError("nested too deeply");
+        };
+        respond(last("config"), """
+                {"events":[{"object":{"metadata":{"name":"main","revision":6},"specification":{}}}],"at":6}""");
+
+        awaitCall("config", 3);
+    }
+}
--- a/host/src/test/java/io/carawaylift/host/SilentStoreTest.java
+++ b/host/src/test/java/io/carawaylift/host/SilentStoreTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.carawaylift.standin.RawCaller;
+import io.carawaylift.standin.ScriptedEndpoint;
 import java.io.IOException;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -98,6 +99,24 @@
         }
     }
 
+    /** Guards against requests to an evacuated zone or a draining endpoint because the store was silent before. */
+    @Test
+    void anEvacuationAndADrainingEndpointAreKnownWithinTheLimitAfterASilence() throws IOException {
+        ScriptedEndpoint endpoint = fixture.addEndpoint("e-2");
+        fixture.awaitLine("endpoint.listed", "e-2");
+        fixture.store().silence();
+        fixture.awaitLine("dependency.lost", "\"kind\":\"evacuations\"");
+        fixture.awaitLine("dependency.lost", "\"kind\":\"servers\"");
+        fixture.store().endSilence();
+        long acknowledgedNanos = System.nanoTime();
+        fixture.store().put("evacuations", "zone-b", "{}");
+        fixture.listEndpoint("e-2", endpoint, "draining");
+        fixture.awaitLine("zone.evacuation", "zone-b", "\"evacuated\":true");
+        fixture.awaitLine("endpoint.listed", "e-2", "\"draining\":true");
+
+        assertThat(System.nanoTime() - acknowledgedNanos).isLessThan(APPLY_NANOS);
+    }
+
     /** Guards against a change that is missed for long because a silence of a moment lost the watch that waited. */
     @Test
     void aWatchThatIsLostInAShortSilenceIsReplaced() {
