Give up a watch of the configuration or the evacuations after 4.5 s instead of 21.5 s

Cause: on the host that follows the store a watch waited 20 s. If only its response is lost, which the store's pages allow, nothing else showed that, and the host confirmed its old configuration to the region meanwhile. Change: these watches wait 3 s; only the list of hosts keeps 20 s.

--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -30,10 +30,16 @@
  */
 final class KindWatcher {
     /**
-     * Normal timeout of a watch. Long, because each watch costs a call; TCP keep-alive detects a lost connection
-     * earlier.
+     * Timeout of a watch. A change whose response is lost is known after this time and that of a call, well within six
+     * seconds. A watch may also soon be unnecessary, because another host confirms.
      */
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(3);
+
+    /**
+     * The same for the other hosts, once they found each other. Long, because each watch costs a call, and hosts that
+     * are not listed yet report to those that are.
+     */
+    private static final Duration HOSTS_WATCH_TIMEOUT = Duration.ofSeconds(20);
 
     /** Timeout of a watch that only brings what a list lacked, or shows whether the store responds again. */
     private static final Duration IMMEDIATE_WATCH_TIMEOUT = Duration.ofMillis(1);
@@ -54,12 +60,6 @@
      */
     private static final long CONFIRMATION_LIFETIME_NANOS = 1_500_000_000L;
 
-    /**
-     * Timeout of a watch that may soon be unnecessary because another host confirms, or whose host may become the
-     * relay.
-     */
-    private static final Duration UNCONFIRMED_WATCH_TIMEOUT = Duration.ofSeconds(3);
-
     /** Time after the start in which the hosts of a region find each other. */
     private static final long DISCOVERY_NANOS = 8_000_000_000L;
 
@@ -344,7 +344,8 @@
             return CONFIRMING_WATCH_TIMEOUT;
         }
         boolean starting = System.nanoTime() - startedNanos < DISCOVERY_NANOS;
-        return starting || relay.isFollower() ? UNCONFIRMED_WATCH_TIMEOUT : WATCH_TIMEOUT;
+        boolean ofKnownHosts = kind.equals(StoreKinds.HOSTS) && !starting && !relay.isFollower();
+        return ofKnownHosts ? HOSTS_WATCH_TIMEOUT : WATCH_TIMEOUT;
     }
 
     private void applyWatchResult(StoreChanges changes, long graceMillis) {
--- a/host/src/test/java/io/carawaylift/host/SilentStoreTest.java
+++ b/host/src/test/java/io/carawaylift/host/SilentStoreTest.java
@@ -21,6 +21,9 @@
     /** Time after a disruption of the store from which on the limit holds. */
     private static final long STABILITY_NANOS = 4_000_000_000L;
 
+    /** Time within which a change is in force at every host of a fleet. */
+    private static final long EVERYWHERE_NANOS = 6_000_000_000L;
+
     private HostFixture fixture;
 
     @BeforeEach
@@ -99,6 +102,18 @@
         }
     }
 
+    /** Guards against a change that is missed for long because only the response that brings it is lost. */
+    @Test
+    void aChangeWhoseResponseIsLostIsInForceEverywhereWithinTheLimit() throws InterruptedException {
+        fixture.configure(2, "service", 2000, List.of("safe"));
+        fixture.awaitLine("configuration.in_force", "\"version\":2");
+        // For some seconds after its start, a host asks more often.
+        Thread.sleep(12_000);
+        fixture.store().loseWatch("config");
+
+        assertThat(nanosUntilDownloadIsRouted(fixture, 3)).isLessThan(EVERYWHERE_NANOS);
+    }
+
     /** Guards against requests to an evacuated zone or a draining endpoint because the store was silent before. */
     @Test
     void anEvacuationAndADrainingEndpointAreKnownWithinTheLimitAfterASilence() throws IOException {
--- a/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
+++ b/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
@@ -37,6 +37,7 @@
     private int rejectionStatus;
     private boolean silent;
     private int silences;
+    private String kindOfLostResponse = "";
     private int callCount;
     private Map<String, TreeMap<String, ObjectNode>> oldObjectsByKind;
 
@@ -108,6 +109,12 @@
         silent = false;
     }
 
+    /** Never answers the watch of a kind that waits now or comes next; all other calls are answered. */
+    public synchronized void loseWatch(String kind) {
+        kindOfLostResponse = kind;
+        notifyAll();
+    }
+
     /** Answers lists that may be old with the objects as they are now, until this is called again. */
     public synchronized void keepForOldLists() {
         oldObjectsByKind = new HashMap<>();
@@ -168,8 +175,13 @@
 
     /** Blocks until the store is closed if it is silent, or was since the call for which {@code before} was read. */
     private void holdIfSilent(int before) throws InterruptedException {
-        boolean unanswered = silent || silences != before;
-        while (unanswered) {
+        if (silent || silences != before) {
+            hold();
+        }
+    }
+
+    private void hold() throws InterruptedException {
+        while (true) {
             wait();
         }
     }
@@ -203,6 +215,10 @@
         int silencesBefore = silences;
         while (true) {
             holdIfSilent(silencesBefore);
+            if (kindOfLostResponse.equals(kind)) {
+                kindOfLostResponse = "";
+                hold();
+            }
             if (rejectionStatus != 0) {
                 return new Response(rejectionStatus, mapper.createObjectNode());
             }
