--- a/soak/src/test/java/io/carawaylift/soak/FaultPlan.java
+++ b/soak/src/test/java/io/carawaylift/soak/FaultPlan.java
@@ -19,7 +19,13 @@
     /** Probability that a step repeats the kind of fault that was drawn last, so that faults come in series. */
     private static final double SERIES_PROBABILITY = 0.25;
 
-    /** Kinds of faults; the first group is planned work. The order determines the plan of each seed. */
+    /** Silences of the store in a run with faults. */
+    private static final int MAX_SILENCES = 2;
+
+    /**
+     * Kinds of faults; the first group is planned work. The order of those before {@link #STORE_SILENCE}, which is drawn
+     * separately, determines the plan of each seed.
+     */
     enum Fault {
         HOST_TERMINATE(true),
         HOST_RELOAD(true),
@@ -44,7 +50,8 @@
         ENDPOINT_LINK_DROP(false),
         ENDPOINT_LINK_DROP_RESPONSES(false),
         ENDPOINT_LINK_STALL(false),
-        ENDPOINT_LINK_DELAY(false);
+        ENDPOINT_LINK_DELAY(false),
+        STORE_SILENCE(false);
 
         private final boolean planned;
 
@@ -75,7 +82,7 @@
         boolean plannedOnly = Math.floorMod(seed, PLANNED_ONLY_SEED_INTERVAL) == 0;
         List<Fault> kinds = new ArrayList<>();
         for (Fault fault : Fault.values()) {
-            if (fault.planned || !plannedOnly) {
+            if (fault != Fault.STORE_SILENCE && (fault.planned || !plannedOnly)) {
                 kinds.add(fault);
             }
         }
@@ -86,16 +93,24 @@
             if (random.nextDouble() >= SERIES_PROBABILITY) {
                 fault = kinds.get(random.nextInt(kinds.size()));
             }
-            steps.add(new Step(
-                    random.nextLong(MIN_START_MILLIS, Math.max(MIN_START_MILLIS + 1, runMillis - MAX_DURATION_MILLIS)),
-                    fault,
-                    random.nextInt(1 << 20),
-                    random.nextLong(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS)));
+            steps.add(step(fault, random, runMillis));
+        }
+        SplittableRandom silences = random.split();
+        for (int i = plannedOnly ? 0 : silences.nextInt(MAX_SILENCES + 1); i > 0; i--) {
+            steps.add(step(Fault.STORE_SILENCE, silences, runMillis));
         }
         steps.sort(Comparator.comparingLong(Step::atMillis));
         return new FaultPlan(plannedOnly, steps);
     }
 
+    private static Step step(Fault fault, SplittableRandom random, long runMillis) {
+        return new Step(
+                random.nextLong(MIN_START_MILLIS, Math.max(MIN_START_MILLIS + 1, runMillis - MAX_DURATION_MILLIS)),
+                fault,
+                random.nextInt(1 << 20),
+                random.nextLong(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS));
+    }
+
     /** Returns whether all faults are planned work. */
     boolean plannedOnly() {
         return plannedOnly;
--- a/soak/src/test/java/io/carawaylift/soak/SoakRun.java
+++ b/soak/src/test/java/io/carawaylift/soak/SoakRun.java
@@ -1,6 +1,7 @@
 package io.carawaylift.soak;
 
 import io.carawaylift.soak.FaultPlan.Step;
+import io.carawaylift.standin.RawCaller;
 import io.carawaylift.standin.SimulatedStore;
 import io.carawaylift.testing.demo.Await;
 import io.carawaylift.testing.demo.Launcher;
@@ -28,6 +29,7 @@
     private static final long RECOVERY_MILLIS = 6000;
     private static final int FINAL_REQUESTS = 40;
     private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
     private static final int SIGTERM_EXIT_STATUS = 143;
     private static final List<String> ZONES = List.of("a-1", "a-2", "b-1");
@@ -107,6 +109,8 @@
                 ledger.recordViolation("host " + i + " exited without being stopped");
             } else if (Await.until(1, hosts.get(i)::isReady) < 0) {
                 ledger.recordViolation("host " + i + " is not ready after the faults");
+            } else if (!servesNewestRoute(i)) {
+                ledger.recordViolation("host " + i + " does not have version " + version + " after the faults");
             }
         }
         SoakCaller finalCaller = new SoakCaller("last", hosts, ledger, seed);
@@ -126,6 +130,20 @@
         }
     }
 
+    private synchronized boolean servesNewestRoute(int host) {
+        String id = "newest-" + host;
+        String path = "/new-" + version + "/" + id;
+        ledger.recordSent(id, path, false, host);
+        try (RawCaller caller = new RawCaller(hosts.get(host).callerAddress())) {
+            int status = caller.call("GET", path, id).status();
+            ledger.recordOutcome(id, status, "");
+            return status != NOT_FOUND;
+        } catch (IOException e) {
+            ledger.recordOutcome(id, 0, "");
+            return false;
+        }
+    }
+
     private void inject(Step step) {
         try {
             SoakHost host = hosts.get(step.target() % hosts.size());
@@ -148,6 +166,11 @@
                     store.rejectWith(UNAVAILABLE);
                     schedule(durationMillis, () -> store.rejectWith(0));
                 }
+                case STORE_SILENCE -> {
+                    ledger.recordDisturbance(-1, durationMillis);
+                    store.silence();
+                    schedule(durationMillis, store::endSilence);
+                }
                 case STORE_DISCARD_HISTORY -> store.discardHistory();
                 case STORE_LINK_RESET, STORE_LINK_DROP, STORE_LINK_STALL, STORE_LINK_DELAY -> {
                     ledger.recordDisturbance(index, durationMillis);
