Go on with the calls for a kind also when a call cannot be made

Cause: an error while a call was made, not in the handler of its response, ended the calls for its kind. Evidence: the new test fails on the commit before (no call within 15 s). Change: each step of the sequence is guarded in one place. Result: KindWatcherTest passes.

--- a/host/src/main/java/io/carawaylift/host/CallSequence.java
+++ b/host/src/main/java/io/carawaylift/host/CallSequence.java
@@ -6,7 +6,7 @@
 
 /**
  * The calls to the store for one kind, one after the other. After {@link #resume} there is always a call in flight, a
- * pause or a retry that goes on with the next call, also if the handler of a response throws. Used on the event loop
+ * pause or a retry that goes on with the next call, also if a step of it throws. Used on the event loop
  * only.
  */
 final class CallSequence {
@@ -34,7 +34,7 @@
         inFlight = false;
         callNumber++;
         if (!stopped) {
-            next.run();
+            guard(next);
         }
     }
 
@@ -54,15 +54,20 @@
                 return;
             }
             inFlight = false;
-            try {
-                handler.accept(value, failure);
-            } catch (RuntimeException | Error e) {
-                loop.logFault(e);
-                retry();
-            }
+            guard(() -> handler.accept(value, failure));
         });
     }
 
+    /** Runs an action that goes on with the next call, and goes on without it if it throws. */
+    private void guard(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException | Error e) {
+            loop.logFault(e);
+            retry();
+        }
+    }
+
     /** Goes on after a delay in milliseconds. */
     void pause(long millis) {
         pause.cancel();
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -85,6 +85,7 @@
     private final StoreRetries retries;
     private final StoreRelay relay;
     private final ObjectStoreClient.ListMode firstList;
+    private final CallSequence calls;
     private final ObjectTable<StoreItem> table = new ObjectTable<>();
     private long startedNanos;
     private long revision;
@@ -93,7 +94,6 @@
     private boolean fullyLoaded;
     private boolean storeAvailable = true;
     private boolean followsHost;
-    private final CallSequence calls;
     private boolean renewed;
     private long currentNanos;
 
@@ -152,6 +152,7 @@
         list(firstList, "", Long.MAX_VALUE, new ArrayList<>());
     }
 
+    /** Ends the calls for the kind; changes from other hosts are still applied. */
     void stop() {
         calls.stop();
     }
--- a/host/src/test/java/io/carawaylift/host/KindWatcherTest.java
+++ b/host/src/test/java/io/carawaylift/host/KindWatcherTest.java
@@ -34,6 +34,7 @@
     private final ObjectStoreClient store = new ObjectStoreClient(this::send, Duration.ofSeconds(1));
     private final List<String> changed = new ArrayList<>();
     private Consumer<StoreItem> onChange = item -> changed.add(item.name());
+    private volatile RuntimeException sendFailure;
     private KindWatcher endpoints;
     private KindWatcher configuration;
 
@@ -41,6 +42,11 @@
 
     private CompletableFuture<StoreTransport.Response> send(
             String method, String target, RecordBytes body, Duration timeout) {
+        RuntimeException failure = sendFailure;
+        if (failure != null) {
+            sendFailure = null;
+            throw failure;
+        }
         Call call = new Call(target, new CompletableFuture<>());
         calls.add(call);
         return call.response();
@@ -137,6 +143,16 @@
         assertThat(last("config")).isEqualTo(waiting);
     }
 
+    /** Guards against a kind that is not followed any more because one call could not be made. */
+    @Test
+    void aCallThatCannotBeMadeIsMadeLater() {
+        sendFailure = new IllegalStateException("no memory for a connection");
+        loop.runAndWait(() -> last("config").response().completeExceptionally(new IOException("no response")));
+        HostFixture.await(() -> sendFailure == null);
+
+        awaitCall("config", 3);
+    }
+
     /** Guards against a kind that is not followed any more because its reader failed on one object. */
     @Test
     void aReaderThatThrowsDoesNotEndTheCalls() {
