Wait until the endpoint is listed before the first request of a test

Trace of a case that failed again beside 12 busy processes: the host was ready before e-1 was listed, so it refused the first request itself (code 212, 'no endpoint of the service is listed') and the refusal of the second was the first response on a new connection, a true one. Change: the test waits for the line that lists the endpoint, like ForwardingTest.

--- a/host/src/test/java/io/carawaylift/host/RepeatedRefusalTest.java
+++ b/host/src/test/java/io/carawaylift/host/RepeatedRefusalTest.java
@@ -25,6 +25,7 @@
         fixture = new HostFixture();
         fixture.configure(1);
         endpoint = fixture.addEndpoint("e-1");
+        fixture.awaitLine("endpoint.listed", "e-1");
         HostFixture.await(() -> {
             try {
                 return fixture.readiness() == 200;
