--- a/review/src/test/java/Endpoint.java
+++ b/review/src/test/java/Endpoint.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** An endpoint: runs requests in its slots, queues a few more and rejects the rest. Objects it ran lately are faster. */
 final class Endpoint {
@@ -21,6 +23,7 @@
     private final int queue;
     private final double workMillis;
     private final ServerSocket server;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final List<Arrival> arrivals = new ArrayList<>();
     private final Map<String, Boolean> recent = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -65,12 +68,22 @@
                         + coldMillis + ",\"sequence\":1,\"born\":" + born + "}");
     }
 
+    /** Ends the endpoint at once, with all its connections; its entry stays. */
+    void crash() throws IOException {
+        record.line(id + " crashes");
+        server.close();
+        for (Socket socket : connections) {
+            socket.close();
+        }
+    }
+
     synchronized List<Arrival> arrivals() {
         return new ArrayList<>(arrivals);
     }
 
     private void serve(Socket socket) throws Exception {
         socket.setTcpNoDelay(true);
+        connections.add(socket);
         try (socket) {
             while (true) {
                 Http.Message request = Http.read(socket.getInputStream());
@@ -94,6 +107,8 @@
                                 + "\r\nKeep-Alive: timeout=10\r\n",
                         body);
             }
+        } finally {
+            connections.remove(socket);
         }
     }
 
--- a/review/src/test/java/Fleet.java
+++ b/review/src/test/java/Fleet.java
@@ -47,9 +47,9 @@
     private final int basePort;
     private int addresses;
 
-    Fleet(Path caseFolder) throws IOException {
+    Fleet(Path recordFile) throws IOException {
         folder = Files.createTempDirectory("review");
-        record = new Record(caseFolder.resolve("record.txt"));
+        record = new Record(recordFile);
         store = new Store(record);
         basePort = freeBasePort();
         configure(7, "calendar-svc", false);
--- a/review/src/test/java/Review.java
+++ b/review/src/test/java/Review.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
-/** Runs one case: the arguments are its name and its folder. Exits with 1 if the rule was broken, 0 if not, 2 if it did not run. */
+/** Runs one case: the arguments are its name and the file for the record. Exits with 1 if the rule was broken, 0 if not, 2 if it did not run. */
 public final class Review {
     private static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
@@ -90,11 +90,14 @@
         fleet.awaitReady();
         fleet.startClients(zones, 37.9 * 1.55);
         Thread.sleep(9000);
-        // The endpoints of kgl-b are down and come back together, cold, as other incarnations.
-        for (String service : List.of("calendar", "booking", "media")) {
-            fleet.store.delete("servers", "i-" + service + "-kgl-b-1");
+        // The endpoints of kgl-b crash; their entries are removed after three heartbeat intervals of silence, and they come
+        // back together, cold, as other incarnations.
+        List<String> down = List.of("i-calendar-kgl-b-1", "i-booking-kgl-b-1", "i-media-kgl-b-1");
+        for (String id : down) {
+            fleet.endpoint(id).crash();
         }
         Thread.sleep(4500);
+        down.forEach(id -> fleet.store.delete("servers", id));
         List<Endpoint> back = List.of(
                 fleet.addEndpoint("i-calendar-kgl-b-2", Fleet.CALENDAR, "kgl-b", Fleet.COLD_MILLIS),
                 fleet.addEndpoint("i-booking-kgl-b-2", "booking-svc", "kgl-b", Fleet.COLD_MILLIS),
