Add customers and time bounds to the configuration and the settings

Change: RouteTable holds a CustomerDirectory, a route says whether it is public, HostOptions has Bounds; nothing uses them yet.

--- a/decisions/src/main/java/io/carawaylift/decisions/route/Route.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/route/Route.java
@@ -14,6 +14,7 @@
  * @param maxAttempts maximum number of endpoints that one request may run on
  * @param sessionAffinity whether an endpoint that handled the object recently is faster
  * @param homeRegions regions that may run the requests; empty means all
+ * @param publicAccess whether requests need no customer's key
  */
 public record Route(
         String name,
@@ -26,7 +27,8 @@
         List<WeightedService> services,
         int maxAttempts,
         boolean sessionAffinity,
-        Set<String> homeRegions) {
+        Set<String> homeRegions,
+        boolean publicAccess) {
     public Route {
         if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
             throw new IllegalArgumentException(
--- a/decisions/src/main/java/io/carawaylift/decisions/route/RouteTable.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/route/RouteTable.java
@@ -1,5 +1,6 @@
 package io.carawaylift.decisions.route;
 
+import io.carawaylift.decisions.customer.CustomerDirectory;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -8,16 +9,23 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** Routes, services and limits of one version of the configuration. Immutable. */
+/** Routes, services, limits and customers of one version of the configuration. Immutable. */
 public final class RouteTable {
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, ServiceProfile> services;
     private final CallerLimits limits;
+    private final CustomerDirectory customers;
 
     /** Creates a table; the order of {@code routes} does not matter. */
-    public RouteTable(long version, List<Route> routes, List<ServiceProfile> services, CallerLimits limits) {
+    public RouteTable(
+            long version,
+            List<Route> routes,
+            List<ServiceProfile> services,
+            CallerLimits limits,
+            CustomerDirectory customers) {
         this.version = version;
+        this.customers = customers;
         this.limits = limits;
         Map<String, List<Route>> byHost = new HashMap<>();
         for (Route route : routes) {
@@ -44,6 +52,11 @@
         return limits;
     }
 
+    /** Returns the customers; requests need no key if there are none. */
+    public CustomerDirectory customers() {
+        return customers;
+    }
+
     /** Returns the number of routes. */
     public int size() {
         return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/decisions/src/test/java/io/carawaylift/decisions/route/RouteTableTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/route/RouteTableTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.carawaylift.decisions.customer.CustomerDirectory;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -21,11 +22,12 @@
                 List.of(new WeightedService("service", 1)),
                 2,
                 true,
-                Set.of());
+                Set.of(),
+                false);
     }
 
     private static RouteTable table(Route... routes) {
-        return new RouteTable(1, List.of(routes), List.of(), CallerLimits.DEFAULT);
+        return new RouteTable(1, List.of(routes), List.of(), CallerLimits.DEFAULT, CustomerDirectory.EMPTY);
     }
 
     private static Optional<String> match(RouteTable table, String host, String target) {
--- a/decisions/src/test/java/io/carawaylift/decisions/route/ServiceRotationTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/route/ServiceRotationTest.java
@@ -24,7 +24,8 @@
                 List.of(new WeightedService("first", first), new WeightedService("second", second)),
                 1,
                 false,
-                Set.of());
+                Set.of(),
+                false);
     }
 
     private static Map<String, Integer> counts(ServiceRotation rotation, Route route, int requests) {
--- a/host/src/main/java/io/carawaylift/host/HostOptions.java
+++ b/host/src/main/java/io/carawaylift/host/HostOptions.java
@@ -18,6 +18,7 @@
  * @param regionsByZone region of each zone
  * @param cores processor capacity of the host, in cores of standard speed
  * @param limits limits that operators set for all hosts together
+ * @param bounds times and quotas within which all hosts must act
  * @param buffers bounds of what the host holds in memory
  */
 record HostOptions(
@@ -31,10 +32,13 @@
         Map<String, String> regionsByZone,
         double cores,
         SharedLimits limits,
+        Bounds bounds,
         BufferLimits buffers) {
     private static final double MAX_CORES = 1024;
     private static final double MIN_SECONDS = 0.1;
     private static final double MAX_SECONDS = 600;
+    private static final Duration MIN_BOUND = Duration.ofMillis(100);
+    private static final Duration MAX_BOUND = Duration.ofMinutes(10);
     private static final double MILLIS_PER_SECOND = 1000;
     private static final int MIN_BUFFER_BYTES = 64 * 1024;
     private static final int MAX_BUFFER_BYTES = 1024 * 1024 * 1024;
@@ -60,6 +64,28 @@
             Duration retryWindow,
             double maxRegionShift) {}
 
+    /**
+     * Times and quotas that the platform's operators set.
+     *
+     * @param stabilityWindow time without disturbance after which a host must act on changes of the store
+     * @param configurationDelay time after which an accepted configuration must be in force
+     * @param drainDelay time after which an endpoint that leaves must get no new requests
+     * @param strictRevocation whether a host that cannot know that a key is still valid must refuse it
+     * @param revocationDelay time after which a withdrawn key must be refused
+     * @param quotaWindow length of the windows in which customers' requests are limited
+     * @param quotaOverage fraction by which a customer's limit may be exceeded in a window
+     * @param quotaSlack requests beyond the limit and its overage in a window
+     */
+    record Bounds(
+            Duration stabilityWindow,
+            Duration configurationDelay,
+            Duration drainDelay,
+            boolean strictRevocation,
+            Duration revocationDelay,
+            Duration quotaWindow,
+            double quotaOverage,
+            double quotaSlack) {}
+
     /**
      * Bounds of the bytes that are buffered at once.
      *
@@ -87,12 +113,25 @@
                         settings.decimal("limits.retry_allowance", 10, 0, 1e6),
                         seconds(settings, "limits.retry_window_s", 10),
                         settings.decimal("limits.max_region_shift", 0.15, 0, 1)),
+                bounds(settings),
                 new BufferLimits(
                         bytes(settings, "buffers.max_response_bytes", DEFAULT_RESPONSE_BYTES),
                         bytes(settings, "buffers.max_endpoint_bytes", DEFAULT_ENDPOINT_BYTES),
                         bytes(settings, "buffers.max_total_bytes", DEFAULT_TOTAL_BYTES)));
     }
 
+    private static Bounds bounds(Settings settings) {
+        return new Bounds(
+                millis(settings, "limits.stability_window_ms", 4000),
+                millis(settings, "limits.configuration_delay_ms", 3000),
+                millis(settings, "limits.drain_delay_ms", 3000),
+                settings.flag("limits.strict_revocation", false),
+                millis(settings, "limits.revocation_delay_ms", 5000),
+                seconds(settings, "limits.quota_window_s", 5),
+                settings.decimal("limits.quota_overage", 0, 0, 1),
+                settings.decimal("limits.quota_slack", 0, 0, 1e6));
+    }
+
     private static long bytes(Settings settings, String key, int defaultBytes) {
         return settings.integer(key, defaultBytes, MIN_BUFFER_BYTES, MAX_BUFFER_BYTES);
     }
@@ -102,6 +141,10 @@
         return Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
     }
 
+    private static Duration millis(Settings settings, String key, long defaultMillis) {
+        return settings.millis(key, Duration.ofMillis(defaultMillis), MIN_BOUND, MAX_BOUND);
+    }
+
     private static InetSocketAddress socketAddress(String address) {
         int colon = address.lastIndexOf(':');
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
--- a/runtime/src/main/java/io/carawaylift/runtime/Settings.java
+++ b/runtime/src/main/java/io/carawaylift/runtime/Settings.java
@@ -138,6 +138,17 @@
         return value.doubleValue();
     }
 
+    /** Returns true or false, or {@code defaultValue} if the key is missing. */
+    public boolean flag(String key, boolean defaultValue) {
+        if (!has(key)) {
+            return defaultValue;
+        }
+        if (!node(key).isBoolean()) {
+            throw invalid(key, "must be true or false");
+        }
+        return node(key).booleanValue();
+    }
+
     /** Returns an address {@code host:port}. */
     public String address(String key) {
         return requireMatch(key, text(key), ADDRESS);
