Check the key of a request and tell the endpoint the customer

Cause: the configuration names customers and their keys, but every request runs whatever its key, and a caller can claim to be any customer by sending the header itself.

Change: Authorization finds the customer by the key in X-Credential; a request without a known key gets 401 (UNKNOWN_KEY) unless the route is public or there are no customers. EndpointRequest, taken out of CallerRequest, drops the key and the caller's X-Tenant and sets the customer's name. The customer's rank overrides the route's, and the home regions of both apply. A malformed entry defines no customer and is logged without its values; if all entries are malformed, keys are still required, since a mistake must not open all routes.

--- a/decisions/src/main/java/io/carawaylift/decisions/customer/CustomerDirectory.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/customer/CustomerDirectory.java
@@ -3,9 +3,11 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Finds customers by their keys. Immutable. */
 public final class CustomerDirectory {
@@ -14,6 +16,17 @@
 
     private final Map<String, Customer> byKey;
     private final Map<String, Customer> byName;
+    private final List<IgnoredEntry> ignoredEntries;
+    private final Set<String> customersWithSharedKeys;
+
+    /**
+     * An entry of the configuration that defines no customer.
+     *
+     * @param row index of the entry, from 0
+     * @param name name of the customer, empty if it has none
+     * @param reason what is wrong; contains no value of the entry, since that may be a key
+     */
+    public record IgnoredEntry(int row, String name, String reason) {}
 
     /**
      * Creates a directory. A key that several customers hold identifies none of them.
@@ -21,25 +34,43 @@
      * @param keysByCustomer keys of each customer
      */
     public CustomerDirectory(Map<Customer, Set<String>> keysByCustomer) {
+        this(keysByCustomer, List.of());
+    }
+
+    /**
+     * Creates a directory of a configuration in which some entries define no customer.
+     *
+     * @param keysByCustomer keys of each customer
+     */
+    public CustomerDirectory(Map<Customer, Set<String>> keysByCustomer, List<IgnoredEntry> ignoredEntries) {
         Map<String, Customer> keys = new HashMap<>();
         Map<String, Customer> names = new HashMap<>();
         Set<String> sharedKeys = new HashSet<>();
+        Set<String> sharing = new TreeSet<>();
         keysByCustomer.forEach((customer, customerKeys) -> {
             names.put(customer.name(), customer);
             for (String key : customerKeys) {
-                if (keys.putIfAbsent(key, customer) != null) {
+                Customer other = keys.putIfAbsent(key, customer);
+                if (other != null) {
                     sharedKeys.add(key);
+                    sharing.add(customer.name());
+                    sharing.add(other.name());
                 }
             }
         });
         keys.keySet().removeAll(sharedKeys);
-        byKey = Map.copyOf(keys);
-        byName = Map.copyOf(names);
+        this.byKey = Map.copyOf(keys);
+        this.byName = Map.copyOf(names);
+        this.ignoredEntries = List.copyOf(ignoredEntries);
+        this.customersWithSharedKeys = Set.copyOf(sharing);
     }
 
-    /** Returns whether there are no customers, so that requests need no key. */
+    /**
+     * Returns whether the configuration has no customers, so that requests need no key. An ignored entry counts as a
+     * customer here: a mistake in the only entry must not open all routes.
+     */
     public boolean isEmpty() {
-        return byName.isEmpty();
+        return byName.isEmpty() && ignoredEntries.isEmpty();
     }
 
     /** Returns all customers. */
@@ -56,4 +87,14 @@
     public Optional<Customer> byName(String name) {
         return Optional.ofNullable(byName.get(name));
     }
+
+    /** Returns the entries that define no customer. */
+    public List<IgnoredEntry> ignoredEntries() {
+        return ignoredEntries;
+    }
+
+    /** Returns the names of the customers that hold a key of another one. */
+    public Set<String> customersWithSharedKeys() {
+        return customersWithSharedKeys;
+    }
 }
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -1,5 +1,7 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.customer.Authorization;
+import io.carawaylift.decisions.customer.Customer;
 import io.carawaylift.decisions.dispatch.DispatchRequest;
 import io.carawaylift.decisions.dispatch.ServiceDispatcher;
 import io.carawaylift.decisions.dispatch.ServiceDispatcher.Decision;
@@ -14,15 +16,11 @@
 import io.carawaylift.platform.store.RequestHeaders;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -69,6 +67,7 @@
     private final String object;
     private final List<String> steps = new ArrayList<>();
     private Route route;
+    private Optional<Customer> customer = Optional.empty();
     private long configurationVersion;
     private String service = "";
     private ServiceTraffic traffic;
@@ -112,6 +111,13 @@
             return;
         }
         route = match.get();
+        Authorization authorization = Authorization.of(
+                table.get().customers(), route.publicAccess(), head.headers().getAll(RequestHeaders.CREDENTIAL));
+        if (!authorization.allowed()) {
+            finish(ResultCode.UNKNOWN_KEY, "no customer has the key");
+            return;
+        }
+        customer = authorization.customer();
         if (id.isEmpty()) {
             finish(ResultCode.BAD_REQUEST, "no request id");
             return;
@@ -123,13 +129,13 @@
         deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis);
         dispatch = DispatchRequest.builder()
                 .object(object)
-                .priority(route.priority())
+                .priority(authorization.priority(route.priority()))
                 .arrivedNanos(arrivedNanos)
                 .targetMillis(route.targetLatencyMillis())
                 .timeoutMillis(route.timeoutMillis())
                 .deadlineNanos(deadlineNanos)
                 .largeResponse(route.kind() == RequestKind.DOWNLOAD)
-                .mayRunIn(route::mayRunIn)
+                .mayRunIn(region -> route.mayRunIn(region) && authorization.mayRunIn(region))
                 .build();
         long untilDeadline = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
         timer = forwarder.loop().after(untilDeadline + RESPONSE_GRACE_MILLIS, this::deadlinePassed);
@@ -243,7 +249,9 @@
         inFlightConnection = connection;
         mayHaveRun = true;
         runs++;
-        connection.send(outboundRequest(endpoint, remaining), id, new OutboundListener() {
+        FullHttpRequest request =
+                EndpointRequest.create(head, body.bytes(), endpoint.entry().id(), remaining, customer);
+        connection.send(request, id, new OutboundListener() {
             @Override
             public void responseReceived(OutboundResponse response) {
                 if (inFlightConnection == connection) {
@@ -269,23 +277,6 @@
         });
     }
 
-    private FullHttpRequest outboundRequest(EndpointStatus endpoint, long remainingMillis) {
-        HttpHeaders headers = ForwardedHeaders.copyOf(head.headers());
-        headers.set(RequestHeaders.REMAINING_MILLIS, remainingMillis);
-        headers.set(RequestHeaders.EXPECTED_ENDPOINT, endpoint.entry().id());
-        boolean hasBody = body.bytes().isReadable() || HttpUtil.isTransferEncodingChunked(head);
-        if (hasBody || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.bytes().readableBytes());
-        }
-        return new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                head.method(),
-                head.uri(),
-                body.bytes().retainedDuplicate(),
-                headers,
-                EmptyHttpHeaders.INSTANCE);
-    }
-
     private void sendEnded(EndpointStatus endpoint) {
         endpoint.requestEnded();
         if (inFlightEndpoint == endpoint) {
@@ -498,6 +489,7 @@
                         "request",
                         line -> line.put("id", id)
                                 .put("route", routeName)
+                                .put("customer", customer.map(Customer::name).orElse(""))
                                 .put("service", service)
                                 .put("version", configurationVersion)
                                 .put("object", object)
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -140,6 +140,7 @@
                     line -> line.put("version", decodedTable.version())
                             .put("revision", item.revision())
                             .put("routes", decodedTable.size()));
+            CustomerEvents.log(decodedTable.customers(), log);
             onChange.run();
         }
 
--- a/model/src/main/java/io/carawaylift/model/ResultCode.java
+++ b/model/src/main/java/io/carawaylift/model/ResultCode.java
@@ -14,6 +14,7 @@
     BODY_TOO_LARGE(202, 413, Outcome.NOT_RUN, "The request body exceeds the limit of the entry process."),
     TICKET_REQUIRED(203, 428, Outcome.NOT_RUN, "A once-only request needs a ticket."),
     LEDGER_FULL(204, 503, Outcome.NOT_RUN, "The ledger of once-only requests has no room for a new ticket."),
+    UNKNOWN_KEY(205, 401, Outcome.NOT_RUN, "The request has no key, or one that identifies no customer."),
     NO_TABLE(210, 503, Outcome.NOT_RUN, "The process has not learned a table yet."),
     NO_UPSTREAM(211, 503, Outcome.NOT_RUN, "No upstream of the service may take the request now."),
     QUEUE_FULL(212, 503, Outcome.NOT_RUN, "The queue is full of work of the same or higher rank."),
@@ -25,6 +26,8 @@
     CANCELLED_IN_QUEUE(218, 499, Outcome.NOT_RUN, "The caller left before the request was sent."),
     STOPPING(219, 503, Outcome.NOT_RUN, "The entry process is stopping and takes no new work."),
     NOT_OWNER(220, 503, Outcome.NOT_RUN, "The process owns no usable slot of the named upstream."),
+    CONFIGURATION_UNPROVEN(
+            221, 503, Outcome.NOT_RUN, "The process does not know whether the request's key is still valid."),
 
     TIMED_OUT(300, 504, Outcome.UNKNOWN, "The request was sent, and no answer came before the deadline."),
     CONNECTION_LOST(301, 502, Outcome.UNKNOWN, "The connection broke after the request was sent."),
