Match routes by look-ups of the prefixes of the path

Cause: a request was compared with the routes of its host one after the other, which costs 1,400 comparisons in the largest configuration.

Change: PathPrefixes looks up each prefix of the path that ends with a slash and has the length of a route's prefix, longest first. Of two routes with the same prefix the first still applies.

--- a/decisions/src/main/java/io/carawaylift/decisions/route/RouteTable.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/route/RouteTable.java
@@ -2,7 +2,6 @@
 
 import io.carawaylift.decisions.customer.CustomerDirectory;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -12,12 +11,13 @@
 /** Routes, services, limits and customers of one version of the configuration. Immutable. */
 public final class RouteTable {
     private final long version;
-    private final Map<String, List<Route>> routesByHost;
+    private final int size;
+    private final Map<String, PathPrefixes> prefixesByHost;
     private final Map<String, ServiceProfile> services;
     private final CallerLimits limits;
     private final CustomerDirectory customers;
 
-    /** Creates a table; the order of {@code routes} does not matter. */
+    /** Creates a table. Of two routes with the same host and prefix, the first one applies. */
     public RouteTable(
             long version,
             List<Route> routes,
@@ -27,16 +27,15 @@
         this.version = version;
         this.customers = customers;
         this.limits = limits;
+        this.size = routes.size();
         Map<String, List<Route>> byHost = new HashMap<>();
         for (Route route : routes) {
             byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
                     .add(route);
         }
-        byHost.values()
-                .forEach(list -> list.sort(Comparator.comparingInt(
-                                (Route route) -> route.pathPrefix().length())
-                        .reversed()));
-        this.routesByHost = Map.copyOf(byHost);
+        Map<String, PathPrefixes> prefixes = new HashMap<>();
+        byHost.forEach((host, ofHost) -> prefixes.put(host, new PathPrefixes(ofHost)));
+        this.prefixesByHost = Map.copyOf(prefixes);
         Map<String, ServiceProfile> byName = new HashMap<>();
         services.forEach(service -> byName.put(service.name(), service));
         this.services = Map.copyOf(byName);
@@ -59,7 +58,7 @@
 
     /** Returns the number of routes. */
     public int size() {
-        return routesByHost.values().stream().mapToInt(List::size).sum();
+        return size;
     }
 
     /** Returns the service with the name, empty if the configuration has none. */
@@ -68,7 +67,8 @@
     }
 
     /**
-     * Returns the route of the host with the longest prefix of the path, empty if none matches.
+     * Returns the route of the host with the longest prefix of the path, empty if none matches. Costs one look-up for
+     * the host and one for each prefix of the path, whatever the number of routes.
      *
      * @param host value of the Host header; case and port are ignored
      * @param target request target in origin form; the query is ignored
@@ -77,12 +77,8 @@
         String name = withoutPort(host).toLowerCase(Locale.ROOT);
         int query = target.indexOf('?');
         String path = query < 0 ? target : target.substring(0, query);
-        for (Route route : routesByHost.getOrDefault(name, List.of())) {
-            if (path.startsWith(route.pathPrefix())) {
-                return Optional.of(route);
-            }
-        }
-        return Optional.empty();
+        PathPrefixes prefixes = prefixesByHost.get(name);
+        return prefixes == null ? Optional.empty() : prefixes.longestOf(path);
     }
 
     private static String withoutPort(String host) {
