Follow the headers of endpoints that leave or push back

An endpoint that announced its end with Server-Leaving went on getting requests until its entry in the store changed, and Retry-After of a 503 was not read, nor any header of a refusal that was discarded.

Both headers are now read before anything else is decided from a response. A leaving incarnation is not usable any more: its idle connections close, waiting requests go elsewhere at once, and the other hosts learn it through the relays (message 24). A 503 with Retry-After keeps this host from sending for that time.

--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -151,7 +151,9 @@
 
     private boolean mayUse(EndpointStatus status, Requirements requirements, long nowNanos) {
         String id = status.entry().id();
-        if (requirements.excluded().contains(id) || !registry.health().mayTry(id, nowNanos)) {
+        if (requirements.excluded().contains(id)
+                || status.isSilenced(nowNanos)
+                || !registry.health().mayTry(id, nowNanos)) {
             return false;
         }
         return !status.isCold(nowNanos)
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointRegistry.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointRegistry.java
@@ -15,9 +15,26 @@
  * thread-safe.
  */
 public final class EndpointRegistry {
+    /** Bound on the remembered announcements: several times the endpoints of the largest deployment's services. */
+    private static final int MAX_LEAVING = 8192;
+
     private final Map<String, EndpointStatus> endpoints = new LinkedHashMap<>();
     private final Map<String, Map<String, EndpointStatus>> byService = new HashMap<>();
     private final EndpointHealth health = new EndpointHealth();
+
+    /**
+     * Start times of the endpoints that announced their end, by id. Kept without an entry too, since a restored store
+     * may list an endpoint again that has already left.
+     */
+    private final Map<String, Long> leaving = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_LEAVING;
+        }
+    };
+
     private Set<String> evacuatedZones = Set.of();
     private long changeCount;
 
@@ -75,6 +92,36 @@
         return evacuatedZones;
     }
 
+    /**
+     * Records that an endpoint announced its end: it is not usable any more until its id is listed with another start.
+     *
+     * @param startedMillis start of the incarnation that announced it
+     * @return whether this was not known yet
+     */
+    public boolean markLeaving(String id, long startedMillis) {
+        Long known = leaving.get(id);
+        if (known != null && known >= startedMillis) {
+            return false;
+        }
+        leaving.put(id, startedMillis);
+        changeCount++;
+        return true;
+    }
+
+    /** Records that an endpoint requested to get nothing from this host until the given time; ignores unknown ids. */
+    public void silence(String id, long untilNanos, long nowNanos) {
+        EndpointStatus status = endpoints.get(id);
+        if (status != null) {
+            status.silence(untilNanos, nowNanos);
+        }
+    }
+
+    /** Returns whether the incarnation of an endpoint that its entry describes announced its end. */
+    public boolean isLeaving(EndpointEntry entry) {
+        Long startedMillis = leaving.get(entry.id());
+        return startedMillis != null && startedMillis == entry.startedMillis();
+    }
+
     /** Returns a counter that increases whenever the lists of usable endpoints may have changed. */
     long changeCount() {
         return changeCount;
@@ -86,12 +133,15 @@
     }
 
     /**
-     * Returns whether the endpoint is listed, not draining and outside the evacuated zones. Its health is not
-     * considered.
+     * Returns whether the endpoint is listed, neither draining nor leaving, and outside the evacuated zones. Its health
+     * and whether it is silenced are not considered.
      */
     public boolean isUsable(EndpointStatus status) {
         EndpointEntry entry = status.entry();
-        return endpoints.get(entry.id()) == status && !entry.draining() && !evacuatedZones.contains(entry.zone());
+        return endpoints.get(entry.id()) == status
+                && !entry.draining()
+                && !evacuatedZones.contains(entry.zone())
+                && !isLeaving(entry);
     }
 
     /** Returns the endpoints of a service for which {@link #isUsable} holds. */
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -30,6 +30,7 @@
     private double otherHostsLoad;
     private long loadReportedNanos;
     private long coldUntilNanos;
+    private long silencedUntilNanos;
     private double slowness = 1;
     private double failureFraction;
     private long outcomeNanos;
@@ -46,6 +47,7 @@
     EndpointStatus(EndpointEntry entry, long nowNanos) {
         this.entry = entry;
         this.loadReportedNanos = nowNanos;
+        this.silencedUntilNanos = nowNanos;
         this.coldBucket = new TokenBucket(COLD_BURST_REQUESTS, nowNanos);
         setCold(entry.remainingColdMillis(), nowNanos);
     }
@@ -68,6 +70,7 @@
             otherHostsLoad = 0;
             slowness = 1;
             failureFraction = 0;
+            silencedUntilNanos = nowNanos;
             recentObjects.clear();
             coldBucket = new TokenBucket(COLD_BURST_REQUESTS, nowNanos);
         }
@@ -86,6 +89,18 @@
         return coldUntilNanos - nowNanos > 0;
     }
 
+    /** Sends nothing until the given time; an earlier time than one already set changes nothing. */
+    void silence(long untilNanos, long nowNanos) {
+        if (untilNanos - nowNanos > Math.max(0, silencedUntilNanos - nowNanos)) {
+            silencedUntilNanos = untilNanos;
+        }
+    }
+
+    /** Returns whether the endpoint requested to get nothing from this host now. */
+    public boolean isSilenced(long nowNanos) {
+        return silencedUntilNanos - nowNanos > 0;
+    }
+
     /** Takes a permit for one request to the endpoint while it is cold. */
     public boolean tryColdRequest(double requestsPerSecond, long nowNanos) {
         return coldBucket.tryTake(requestsPerSecond, nowNanos);
--- a/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointRegistryTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointRegistryTest.java
@@ -80,4 +80,44 @@
         assertThat(status.load(0)).isEqualTo(8);
         assertThat(status.load(5 * SECOND)).isLessThan(0.1);
     }
+
+    /** Guards against requests to an endpoint that leaves, also if a restored store lists it again. */
+    @Test
+    void aLeavingEndpointIsNotUsableUntilItIsListedWithAnotherStart() {
+        registry.put(entry(1, "service", false, 0), 0);
+        assertThat(registry.markLeaving("e", 1)).isTrue();
+        assertThat(registry.markLeaving("e", 1)).isFalse();
+        assertThat(registry.usable("service")).isEmpty();
+        registry.remove("e");
+        registry.put(entry(1, "service", false, 0), 0);
+        assertThat(registry.usable("service")).isEmpty();
+
+        registry.put(entry(2, "service", false, 0), 0);
+        assertThat(registry.usable("service")).hasSize(1);
+        assertThat(registry.markLeaving("e", 1)).isFalse();
+    }
+
+    /** Guards against a late announcement by an old incarnation that stops the new one. */
+    @Test
+    void anAnnouncementConcernsOneIncarnation() {
+        registry.put(entry(2, "service", false, 0), 0);
+        registry.markLeaving("e", 1);
+
+        assertThat(registry.usable("service")).hasSize(1);
+    }
+
+    /** Guards against a pause that a shorter one ends early, or that outlives the incarnation that requested it. */
+    @Test
+    void aSilencedEndpointIsSilentUntilTheLatestTime() {
+        registry.put(entry(1, "service", false, 0), 0);
+        EndpointStatus status = registry.find("e").orElseThrow();
+        registry.silence("e", 3 * SECOND, 0);
+        registry.silence("e", 2 * SECOND, SECOND);
+        assertThat(status.isSilenced(3 * SECOND - 1)).isTrue();
+        assertThat(status.isSilenced(3 * SECOND)).isFalse();
+
+        registry.silence("e", 9 * SECOND, 4 * SECOND);
+        registry.put(entry(2, "service", false, 0), 4 * SECOND);
+        assertThat(status.isSilenced(5 * SECOND)).isFalse();
+    }
 }
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -3,6 +3,7 @@
 import io.carawaylift.decisions.dispatch.DispatchRequest;
 import io.carawaylift.decisions.dispatch.ServiceDispatcher;
 import io.carawaylift.decisions.dispatch.ServiceDispatcher.Decision;
+import io.carawaylift.decisions.fleet.EndpointEntry;
 import io.carawaylift.decisions.fleet.EndpointPicker.Choice;
 import io.carawaylift.decisions.fleet.EndpointStatus;
 import io.carawaylift.decisions.route.RequestKind;
@@ -230,6 +231,13 @@
             return;
         }
         long now = System.nanoTime();
+        if (endpoint.isSilenced(now) || forwarder.registry().isLeaving(endpoint.entry())) {
+            sendEnded(endpoint);
+            forwarder.pool().release(endpoint, connection);
+            sendElsewhere(endpoint);
+            return;
+        }
+        EndpointEntry entry = endpoint.entry();
         long remaining = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - now);
         if (remaining <= 0 || !forwarder.registry().isUsable(endpoint)) {
             sendEnded(endpoint);
@@ -251,6 +259,7 @@
                 }
                 sendEnded(endpoint);
                 forwarder.pool().release(endpoint, connection);
+                forwarder.pushBack().responseReceived(entry, response.status(), response.headers(), System.nanoTime());
                 CallerRequest.this.responseReceived(choice, response, now);
             }
 
@@ -347,6 +356,18 @@
         traffic.processingTimes().add(choice.expectedCached(), processingMillis);
     }
 
+    /** Sends the request to another endpoint, since the chosen one pushed back before the request was written. */
+    private void sendElsewhere(EndpointStatus endpoint) {
+        String endpointId = endpoint.entry().id();
+        step("%s pushed back before the request was sent", endpointId);
+        dispatch.exclude(endpointId);
+        if (sends < MAX_SENDS) {
+            sendOrQueue();
+        } else {
+            refuse(ResultCode.UPSTREAM_REFUSED, "endpoints pushed back");
+        }
+    }
+
     /** Retries a request that the endpoint did not run, or refuses it. */
     private void retryNotRun(EndpointStatus endpoint, String reason) {
         dispatch.exclude(endpoint.entry().id());
--- a/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
+++ b/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
@@ -9,6 +9,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 /** Pools connections to endpoints. Used on the event loop only. */
 final class EndpointConnectionPool {
@@ -19,11 +20,23 @@
     private final HostMetrics metrics;
     private final HostOptions.BufferLimits limits;
     private final BufferBudget budget;
+    private final Predicate<EndpointStatus> usable;
     private final Map<EndpointStatus, Deque<OutboundConnection>> idle = new HashMap<>();
     private final Map<EndpointStatus, BufferBudget> budgets = new HashMap<>();
 
-    /** Creates a pool; {@code budget} bounds the responses of all endpoints together. */
-    EndpointConnectionPool(HostLoop loop, HostMetrics metrics, HostOptions.BufferLimits limits, BufferBudget budget) {
+    /**
+     * Creates a pool.
+     *
+     * @param budget bounds the responses of all endpoints together
+     * @param usable whether an endpoint may get further requests; connections to others are not kept
+     */
+    EndpointConnectionPool(
+            HostLoop loop,
+            HostMetrics metrics,
+            HostOptions.BufferLimits limits,
+            BufferBudget budget,
+            Predicate<EndpointStatus> usable) {
+        this.usable = usable;
         this.loop = loop;
         this.metrics = metrics;
         this.limits = limits;
@@ -51,11 +64,11 @@
         });
     }
 
-    /** Returns a connection after a response; it is closed if it is not reusable. */
+    /** Returns a connection after a response; it is closed if it or the endpoint is not usable any more. */
     void release(EndpointStatus endpoint, OutboundConnection connection) {
         // Deferred, so that extra bytes that arrived with the response are detected before the next request is sent.
         loop.execute(() -> {
-            if (connection.isReusable(System.nanoTime())) {
+            if (usable.test(endpoint) && connection.isReusable(System.nanoTime())) {
                 idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>()).addLast(connection);
             } else {
                 connection.close();
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -46,6 +46,7 @@
     private final EndpointConnectionPool pool;
     private final EndpointPicker picker;
     private final HostMembership membership;
+    private final EndpointPushBack pushBack;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
     private final Map<String, Double> roundTripMillisByRegion = new HashMap<>();
@@ -79,6 +80,14 @@
         this.registry = registry;
         this.pool = pool;
         this.membership = membership;
+        this.pushBack = new EndpointPushBack(
+                registry,
+                loop,
+                log,
+                metrics,
+                this::closeIdleConnections,
+                this::sendQueuedRequests,
+                membership::broadcast);
         this.picker = new EndpointPicker(registry, options.host().failureDomain());
         this.regions = new LinkedHashSet<>(options.regionsByZone().values());
     }
@@ -130,6 +139,10 @@
         return registry;
     }
 
+    EndpointPushBack pushBack() {
+        return pushBack;
+    }
+
     EndpointConnectionPool pool() {
         return pool;
     }
--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -29,6 +29,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -98,6 +99,7 @@
     private long synchronizedNanos;
     private long reportCount;
     private boolean updateScheduled;
+    private Predicate<Message.EndpointLeaving> onEndpointLeaving = message -> false;
 
     private record HostEntry(String address, String region, long revision) {}
 
@@ -136,6 +138,17 @@
         sendReportsPeriodically();
     }
 
+    /** Sets the receiver of announcements of leaving endpoints, which returns whether an announcement was new. */
+    void onEndpointLeaving(Predicate<Message.EndpointLeaving> receiver) {
+        onEndpointLeaving = receiver;
+    }
+
+    /** Sends a message to all connected hosts; the relays pass it on. */
+    void broadcast(Message message) {
+        outgoingLinks.values().forEach(outgoing -> outgoing.link().send(message));
+        incomingConnections.values().forEach(connection -> connection.send(message));
+    }
+
     void stop() {
         watcher.stop();
         outgoingLinks.values().forEach(outgoing -> outgoing.link().close());
@@ -471,6 +484,11 @@
             reports.regions().stream()
                     .filter(HostMembership::isComplete)
                     .forEach(region -> views.update(host, region, now));
+        } else if (message instanceof Message.EndpointLeaving leaving) {
+            // Only a host that others are connected to passes it on, so that followers send nothing back.
+            if (onEndpointLeaving.test(leaving) && !incomingConnections.isEmpty()) {
+                broadcast(leaving);
+            }
         } else {
             relay.messageReceived(connection, message);
         }
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -68,10 +68,11 @@
         this.storeView = new StoreView(registry, store, retries, relay, loop, log, options.regionsByZone());
         this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report);
         BufferBudget buffers = new BufferBudget(options.buffers().maxTotalBytes());
-        this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers);
+        this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers, registry::isUsable);
         this.forwarder = new Forwarder(options, loop, log, metrics, storeView, registry, pool, membership);
         this.callers = new CallerServer(loop, this::callerLimits, buffers, forwarder);
         this.lookups = new Lookups(this::report, membership::liveHosts);
+        membership.onEndpointLeaving(forwarder.pushBack()::leavingReported);
         storeView.onUnusable(forwarder::closeIdleConnections);
         storeView.onChange(forwarder::sendQueuedRequests);
         metrics.gauge("carawaylift.requests.open", forwarder::openRequests);
--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -220,6 +220,15 @@
      */
     record ObjectPosition(String kind, long revision, long digest) {}
 
+    /**
+     * An endpoint announced in a response that it is about to stop. A relay passes the message on once.
+     *
+     * @param endpoint id of the endpoint
+     * @param startedMillis Unix time in milliseconds at which the endpoint started, 0 if unknown; the message concerns no
+     *     other incarnation
+     */
+    record EndpointLeaving(String endpoint, long startedMillis) implements Message {}
+
     /** Requests all objects of a kind that the receiver knows; sent by a process that cannot reach the platform. */
     record ObjectsRequest(String kind) implements Message {}
 }
--- a/peer/src/main/java/io/carawaylift/peer/MessageType.java
+++ b/peer/src/main/java/io/carawaylift/peer/MessageType.java
@@ -18,7 +18,8 @@
     OBJECT_CHANGES(14, Message.ObjectChanges.class),
     OBJECT_POSITIONS(15, Message.ObjectPositions.class),
     OBJECTS_REQUEST(16, Message.ObjectsRequest.class),
-    REGION_REPORTS(17, Message.RegionReports.class);
+    REGION_REPORTS(17, Message.RegionReports.class),
+    ENDPOINT_LEAVING(24, Message.EndpointLeaving.class);
 
     private final int number;
     private final Class<? extends Message> messageClass;
