--- a/host/src/main/java/io/carawaylift/host/CallerConnection.java
+++ b/host/src/main/java/io/carawaylift/host/CallerConnection.java
@@ -1,5 +1,6 @@
 package io.carawaylift.host;
 
+import io.carawaylift.host.http.InvalidMessage;
 import io.carawaylift.model.ResultCode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -44,7 +45,7 @@
 
     private final CallerServer server;
     private final Handler handler;
-    private final Deque<HttpObject> pipelinedMessages = new ArrayDeque<>();
+    private final Deque<Object> pipelinedMessages = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
     private BodyBuffer body;
@@ -83,19 +84,18 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        HttpObject object = (HttpObject) message;
         if (responding) {
-            bufferPipelined(object);
+            bufferPipelined(message);
             return;
         }
         try {
-            read(object);
+            read(message);
         } finally {
-            ReferenceCountUtil.release(object);
+            ReferenceCountUtil.release(message);
         }
     }
 
-    private void bufferPipelined(HttpObject object) {
+    private void bufferPipelined(Object object) {
         if (pipelinedMessages.size() >= MAX_PIPELINED_MESSAGES) {
             ReferenceCountUtil.release(object);
             channel.close();
@@ -104,7 +104,13 @@
         pipelinedMessages.addLast(object);
     }
 
-    private void read(HttpObject object) {
+    private void read(Object message) {
+        if (message instanceof InvalidMessage invalid) {
+            server.requestInvalid(channel.remoteAddress(), invalid);
+            refuse(ResultCode.BAD_REQUEST, ResultCode.BAD_REQUEST.httpStatus());
+            return;
+        }
+        HttpObject object = (HttpObject) message;
         if (object.decoderResult().isFailure()) {
             boolean tooLong = object.decoderResult().cause() instanceof TooLongFrameException;
             refuse(ResultCode.BAD_REQUEST, tooLong ? HEADERS_TOO_LARGE_STATUS : ResultCode.BAD_REQUEST.httpStatus());
@@ -212,7 +218,7 @@
 
     private void readPipelined() {
         while (!responding && !pipelinedMessages.isEmpty()) {
-            HttpObject next = pipelinedMessages.pollFirst();
+            Object next = pipelinedMessages.pollFirst();
             try {
                 read(next);
             } finally {
--- a/host/src/main/java/io/carawaylift/host/CallerServer.java
+++ b/host/src/main/java/io/carawaylift/host/CallerServer.java
@@ -1,6 +1,8 @@
 package io.carawaylift.host;
 
 import io.carawaylift.decisions.route.CallerLimits;
+import io.carawaylift.host.http.InvalidMessage;
+import io.carawaylift.host.http.SyntaxHandler;
 import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.ResultCode;
 import io.netty.bootstrap.ServerBootstrap;
@@ -10,11 +12,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
@@ -29,6 +31,7 @@
     private final HostLoop loop;
     private final Supplier<CallerLimits> limits;
     private final BufferBudget requestBudget;
+    private final InvalidMessages invalidMessages;
     private final CallerConnection.Handler handler;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listening;
@@ -39,10 +42,12 @@
             HostLoop loop,
             Supplier<CallerLimits> limits,
             BufferBudget requestBudget,
+            InvalidMessages invalidMessages,
             CallerConnection.Handler handler) {
         this.loop = loop;
         this.requestBudget = requestBudget;
         this.limits = limits;
+        this.invalidMessages = invalidMessages;
         this.handler = handler;
     }
 
@@ -78,7 +83,12 @@
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(limits.get().maxHeaderBytes());
         CallerConnection connection = new CallerConnection(this, handler);
-        channel.pipeline().addLast(new HttpResponseEncoder(), new RequestDecoder(config), connection);
+        channel.pipeline()
+                .addLast(
+                        new HttpResponseEncoder(),
+                        SyntaxHandler.forRequests(),
+                        new HttpRequestDecoder(config),
+                        connection);
     }
 
     void opened(CallerConnection connection) {
@@ -100,6 +110,11 @@
         }
     }
 
+    /** Logs an invalid request. */
+    void requestInvalid(SocketAddress peer, InvalidMessage message) {
+        invalidMessages.add("caller", peer, message);
+    }
+
     CallerLimits limits() {
         return limits.get();
     }
@@ -136,18 +151,4 @@
     boolean isBusy() {
         return connections.stream().anyMatch(CallerConnection::isBusy);
     }
-
-    /**
-     * Rejects requests with both a content length and a transfer encoding, whose end is ambiguous (request smuggling).
-     */
-    private static final class RequestDecoder extends HttpRequestDecoder {
-        RequestDecoder(HttpDecoderConfig config) {
-            super(config);
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("both a body length and a transfer encoding are set");
-        }
-    }
 }
--- a/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
+++ b/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
@@ -19,15 +19,22 @@
     private final HostMetrics metrics;
     private final HostOptions.BufferLimits limits;
     private final BufferBudget budget;
+    private final InvalidMessages invalidMessages;
     private final Map<EndpointStatus, Deque<OutboundConnection>> idle = new HashMap<>();
     private final Map<EndpointStatus, BufferBudget> budgets = new HashMap<>();
 
     /** Creates a pool; {@code budget} bounds the responses of all endpoints together. */
-    EndpointConnectionPool(HostLoop loop, HostMetrics metrics, HostOptions.BufferLimits limits, BufferBudget budget) {
+    EndpointConnectionPool(
+            HostLoop loop,
+            HostMetrics metrics,
+            HostOptions.BufferLimits limits,
+            BufferBudget budget,
+            InvalidMessages invalidMessages) {
         this.loop = loop;
         this.metrics = metrics;
         this.limits = limits;
         this.budget = budget;
+        this.invalidMessages = invalidMessages;
     }
 
     /** Passes an idle or a new connection to {@code result}, or null and the reason if connecting failed. */
@@ -46,6 +53,7 @@
         OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, responses, (connection, reason) -> {
             if (connection != null) {
                 connection.onClose(() -> remove(endpoint, connection));
+                connection.onInvalid(message -> invalidMessages.add("endpoint", connection.peer(), message));
             }
             result.accept(connection, reason);
         });
@@ -54,13 +62,13 @@
     /** Returns a connection after a response; it is closed if it is not reusable. */
     void release(EndpointStatus endpoint, OutboundConnection connection) {
         // Deferred, so that extra bytes that arrived with the response are detected before the next request is sent.
-        loop.execute(() -> {
+        loop.execute(() -> connection.afterRequestWritten(() -> {
             if (connection.isReusable(System.nanoTime())) {
                 idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>()).addLast(connection);
             } else {
                 connection.close();
             }
-        });
+        }));
     }
 
     /** Closes idle connections that expired or were closed by the endpoint. */
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -41,6 +41,7 @@
     private final HostMetrics metrics = new HostMetrics();
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("host", true), NioIoHandler.newFactory());
+    private final InvalidMessages invalidMessages;
     private final HostLoop loop;
     private final EndpointRegistry registry = new EndpointRegistry();
     private final ObjectStoreClient store;
@@ -61,16 +62,18 @@
         this.options = options;
         this.settings = settings;
         this.log = log;
+        this.invalidMessages = new InvalidMessages(log, metrics);
         this.loop = new HostLoop(group.next(), log);
-        this.store = new ObjectStoreClient(new StoreConnections(loop, options.store(), metrics), STORE_CALL_TIMEOUT);
+        this.store = new ObjectStoreClient(
+                new StoreConnections(loop, options.store(), metrics, invalidMessages), STORE_CALL_TIMEOUT);
         StoreRetries retries = new StoreRetries(loop);
         this.relay = new StoreRelay(StoreKinds.ENDPOINTS);
         this.storeView = new StoreView(registry, store, retries, relay, loop, log, options.regionsByZone());
         this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report);
         BufferBudget buffers = new BufferBudget(options.buffers().maxTotalBytes());
-        this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers);
+        this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers, invalidMessages);
         this.forwarder = new Forwarder(options, loop, log, metrics, storeView, registry, pool, membership);
-        this.callers = new CallerServer(loop, this::callerLimits, buffers, forwarder);
+        this.callers = new CallerServer(loop, this::callerLimits, buffers, invalidMessages, forwarder);
         this.lookups = new Lookups(this::report, membership::liveHosts);
         storeView.onUnusable(forwarder::closeIdleConnections);
         storeView.onChange(forwarder::sendQueuedRequests);
@@ -96,9 +99,9 @@
     @Override
     public void start() {
         callerAddress = callers.start(options.callers());
-        readinessAddress = new PageServer(loop, lookups::readiness).start(options.readiness());
-        lookupAddress = new PageServer(loop, lookups::lookup).start(options.lookups());
-        new PageServer(loop, this::metricsPage)
+        readinessAddress = new PageServer(loop, invalidMessages, lookups::readiness).start(options.readiness());
+        lookupAddress = new PageServer(loop, invalidMessages, lookups::lookup).start(options.lookups());
+        new PageServer(loop, invalidMessages, this::metricsPage)
                 .start(new InetSocketAddress(options.host().address(), options.metricsPort()));
         loop.runAndWait(() -> {
             storeView.start();
--- a/host/src/main/java/io/carawaylift/host/OutboundConnection.java
+++ b/host/src/main/java/io/carawaylift/host/OutboundConnection.java
@@ -1,5 +1,9 @@
 package io.carawaylift.host;
 
+import io.carawaylift.host.http.InvalidMessage;
+import io.carawaylift.host.http.ResponseDecoder;
+import io.carawaylift.host.http.ResponseHead;
+import io.carawaylift.host.http.SyntaxHandler;
 import io.carawaylift.platform.store.RequestHeaders;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -14,19 +18,18 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
-import java.util.Iterator;
-import java.util.Map;
+import java.net.SocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.regex.Pattern;
+import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -50,13 +53,11 @@
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
     private static final int KEEP_ALIVE_PROBES = 2;
 
-    /** Idle timeout assumed if the peer does not send one. */
-    private static final int DEFAULT_IDLE_TIMEOUT_SECONDS = 5;
-
     /** Fraction of the peer's idle timeout after which a connection is not reused. */
     private static final double USABLE_IDLE_FRACTION = 0.6;
 
-    private static final Pattern STATUS_LINE_START = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+    /** Longest time in which a peer may read the rest of a request after its response. */
+    private static final int MAX_LATE_WRITE_SECONDS = 5;
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final int MIN_FINAL_STATUS = 200;
@@ -74,9 +75,12 @@
     private long receivedBytes;
     private boolean reset;
     private boolean written;
+    private int requestBytes;
+    private Runnable onWritten;
     private boolean keepAlive = true;
     private long idleUntilNanos;
     private Runnable onClose = () -> {};
+    private Consumer<InvalidMessage> onInvalid = message -> {};
     private int requests;
 
     /**
@@ -114,6 +118,7 @@
                         opened.pipeline()
                                 .addLast(
                                         connection.new ReceivedBytes(),
+                                        SyntaxHandler.forResponses(connection.decoder::isHeadRequest),
                                         new HttpRequestEncoder(),
                                         connection.decoder,
                                         connection);
@@ -134,6 +139,16 @@
         onClose = action;
     }
 
+    /** Sets the action that runs when a response is invalid, before its request fails. */
+    void onInvalid(Consumer<InvalidMessage> action) {
+        onInvalid = action;
+    }
+
+    /** Returns the address of the peer. */
+    SocketAddress peer() {
+        return channel.remoteAddress();
+    }
+
     /**
      * Sends a request.
      *
@@ -146,13 +161,44 @@
         requests++;
         receivedBytes = 0;
         skippedResponses = 0;
-        decoder.headRequest = request.method().equals(HttpMethod.HEAD);
+        requestBytes = request.content().readableBytes();
+        decoder.requestSent(request.method());
         if (!channel.isActive()) {
             ReferenceCountUtil.release(request);
             fail(false, "the connection was closed before the request was sent");
             return;
         }
-        channel.writeAndFlush(request).addListener(done -> written = done.isSuccess());
+        channel.writeAndFlush(request).addListener(done -> {
+            written = done.isSuccess();
+            if (onWritten != null) {
+                onWritten.run();
+            }
+        });
+    }
+
+    /**
+     * Runs an action after the response, once the peer has been sent the rest of the request or the connection has
+     * failed. Closes the connection if that takes too long or needs more memory than the limits allow.
+     */
+    void afterRequestWritten(Runnable action) {
+        if (written || !channel.isActive()) {
+            action.run();
+            return;
+        }
+        long heldBytes = requestBytes;
+        if (!limits.budget().tryReserve(heldBytes)) {
+            channel.close();
+            action.run();
+            return;
+        }
+        Future<?> timeout =
+                channel.eventLoop().schedule((Runnable) channel::close, MAX_LATE_WRITE_SECONDS, TimeUnit.SECONDS);
+        onWritten = () -> {
+            onWritten = null;
+            timeout.cancel(false);
+            limits.budget().release(heldBytes);
+            action.run();
+        };
     }
 
     /** Returns whether the request with this id is in flight. */
@@ -184,7 +230,11 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            read((HttpObject) message);
+            if (message instanceof InvalidMessage invalid) {
+                failInvalid(invalid);
+            } else {
+                read((HttpObject) message);
+            }
         } finally {
             ReferenceCountUtil.release(message);
         }
@@ -197,7 +247,8 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            failAndClose("malformed response: " + message.decoderResult().cause());
+            failInvalid(
+                    new InvalidMessage(String.valueOf(message.decoderResult().cause()), "a valid response"));
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -210,8 +261,8 @@
 
     private void begin(HttpResponse response) {
         int status = response.status().code();
-        if (requests > 1 && isMerged(response)) {
-            failAndClose("the head of the response contains the start of another one");
+        if (requests > 1 && ResponseHead.isMerged(response, RequestHeaders.REQUEST_ID)) {
+            failInvalid(new InvalidMessage("a head that contains the start of another one", "one head"));
             return;
         }
         String echoed = response.headers().get(RequestHeaders.REQUEST_ID);
@@ -232,32 +283,17 @@
         boolean success = status <= MAX_SUCCESS_STATUS;
         // On a connection in use again, a response without an id may belong to an earlier request.
         if ((success || requests > 1) && !expectedRequestId.isEmpty() && echoed == null) {
-            failAndClose("the response does not say to which request it belongs");
+            failInvalid(new InvalidMessage("status " + status + " without a request id", "the id of the request"));
+            return;
+        }
+        if (success && !expectedRequestId.isEmpty() && response.headers().contains(RequestHeaders.NOT_RUN)) {
+            failInvalid(new InvalidMessage("status " + status + " and not executed", "one of them"));
             return;
         }
         head = response;
         body = new BodyBuffer(channel.alloc(), limits.budget(), HttpUtil.getContentLength(response, -1L));
     }
 
-    /**
-     * Returns whether a head contains the start of another one: part of a response to an earlier request, for example,
-     * that the endpoint continued with the next response.
-     */
-    private static boolean isMerged(HttpResponse response) {
-        if (response.headers().getAll(RequestHeaders.REQUEST_ID).size() > 1
-                || STATUS_LINE_START.matcher(response.status().reasonPhrase()).find()) {
-            return true;
-        }
-        for (Iterator<Map.Entry<CharSequence, CharSequence>> headers =
-                        response.headers().iteratorCharSequence();
-                headers.hasNext(); ) {
-            if (STATUS_LINE_START.matcher(headers.next().getValue()).find()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private void add(HttpContent content) {
         if (skippingResponse) {
             skippingResponse = !(content instanceof LastHttpContent);
@@ -277,13 +313,15 @@
     }
 
     private void complete() {
-        boolean framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
-        if (reset && !framed) {
-            failAndClose("the connection was reset before the end of the response");
+        boolean delimited = decoder.isDelimited(head);
+        if (!delimited && (reset || !written)) {
+            // A write that fails closes the channel without an exception, as an orderly close of the peer does.
+            failAndClose("the connection was closed before the end of the response, "
+                    + (reset ? "by a reset" : "with a part of the request unwritten"));
             return;
         }
-        int idleTimeoutSeconds = idleTimeoutSeconds(head);
-        keepAlive &= HttpUtil.isKeepAlive(head) && framed;
+        int idleTimeoutSeconds = ResponseHead.idleTimeoutSeconds(head);
+        keepAlive &= HttpUtil.isKeepAlive(head) && delimited && !decoder.isBodyAnnounced();
         idleUntilNanos = System.nanoTime() + (long) (idleTimeoutSeconds * USABLE_IDLE_FRACTION * NANOS_PER_SECOND);
         OutboundListener receiver = listener;
         BodyBuffer completeBody = body;
@@ -295,20 +333,9 @@
                 response.status().code(), response.headers(), completeBody.bytes(), completeBody::releaseBudget));
     }
 
-    /** Parses the idle timeout in seconds from a header such as {@code Keep-Alive: timeout=5}. */
-    private static int idleTimeoutSeconds(HttpResponse response) {
-        String value = response.headers().get("Keep-Alive");
-        int at = value == null ? -1 : value.indexOf("timeout=");
-        if (at < 0) {
-            return DEFAULT_IDLE_TIMEOUT_SECONDS;
-        }
-        int end = at + "timeout=".length();
-        int seconds = 0;
-        while (end < value.length() && Character.isDigit(value.charAt(end)) && seconds < Short.MAX_VALUE) {
-            seconds = seconds * 10 + Character.digit(value.charAt(end), 10);
-            end++;
-        }
-        return seconds;
+    private void failInvalid(InvalidMessage invalid) {
+        onInvalid.accept(invalid);
+        failAndClose("invalid response: " + invalid);
     }
 
     private void failAndClose(String reason) {
@@ -369,14 +396,4 @@
             context.fireChannelRead(message);
         }
     }
-
-    /** Decodes responses; a response to HEAD has no body whatever its headers say. */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
-        private boolean headRequest;
-
-        @Override
-        protected boolean isContentAlwaysEmpty(io.netty.handler.codec.http.HttpMessage message) {
-            return headRequest || super.isContentAlwaysEmpty(message);
-        }
-    }
 }
--- a/host/src/main/java/io/carawaylift/host/PageServer.java
+++ b/host/src/main/java/io/carawaylift/host/PageServer.java
@@ -1,5 +1,7 @@
 package io.carawaylift.host;
 
+import io.carawaylift.host.http.InvalidMessage;
+import io.carawaylift.host.http.SyntaxHandler;
 import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.ResultCode;
 import io.netty.bootstrap.ServerBootstrap;
@@ -9,9 +11,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -24,6 +26,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
@@ -35,18 +38,21 @@
     private static final int IDLE_TIMEOUT_SECONDS = 15;
 
     private final HostLoop loop;
+    private final InvalidMessages invalidMessages;
     private final Function<String, Page> pages;
 
     /** A response with its status, content type and body. */
     record Page(int status, String contentType, String body) {
         static final Page NOT_FOUND = new Page(404, "text/plain", "");
+        static final Page BAD_REQUEST = new Page(400, "text/plain", "");
     }
 
     /**
      * Creates a server. {@code pages} maps a request target in origin form to a page; it is called on the event loop.
      */
-    PageServer(HostLoop loop, Function<String, Page> pages) {
+    PageServer(HostLoop loop, InvalidMessages invalidMessages, Function<String, Page> pages) {
         this.loop = loop;
+        this.invalidMessages = invalidMessages;
         this.pages = pages;
     }
 
@@ -67,6 +73,7 @@
                         channel.pipeline()
                                 .addLast(
                                         new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS),
+                                        SyntaxHandler.forRequests(),
                                         new HttpServerCodec(),
                                         new HttpObjectAggregator(MAX_BODY_BYTES),
                                         new PageHandler());
@@ -80,18 +87,48 @@
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
-    private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class PageHandler extends ChannelInboundHandlerAdapter {
+        private boolean closing;
+
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Page page = request.decoderResult().isSuccess() ? pages.apply(request.uri()) : Page.NOT_FOUND;
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            try {
+                if (closing) {
+                    return;
+                }
+                if (message instanceof InvalidMessage invalid) {
+                    refuse(context, invalid);
+                } else if (message instanceof FullHttpRequest request) {
+                    serve(context, request);
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void serve(ChannelHandlerContext context, FullHttpRequest request) {
+            if (request.decoderResult().isSuccess()) {
+                respond(context, pages.apply(request.uri()), HttpUtil.isKeepAlive(request));
+            } else {
+                String cause = String.valueOf(request.decoderResult().cause());
+                refuse(context, new InvalidMessage(cause, "a valid request"));
+            }
+        }
+
+        private void refuse(ChannelHandlerContext context, InvalidMessage invalid) {
+            invalidMessages.add("page", context.channel().remoteAddress(), invalid);
+            respond(context, Page.BAD_REQUEST, false);
+        }
+
+        private void respond(ChannelHandlerContext context, Page page, boolean keepAlive) {
             ByteBuf content = Unpooled.copiedBuffer(page.body(), StandardCharsets.UTF_8);
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(page.status()), content);
             response.headers()
                     .set(HttpHeaderNames.CONTENT_TYPE, page.contentType())
                     .set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-            boolean keepAlive = HttpUtil.isKeepAlive(request);
             if (!keepAlive) {
+                closing = true;
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             ChannelFuture written = context.writeAndFlush(response);
@@ -100,6 +137,12 @@
             }
         }
 
+        /** Reads no further requests while the responses to earlier ones are unread. */
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            context.channel().config().setAutoRead(context.channel().isWritable());
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             context.close();
--- a/host/src/main/java/io/carawaylift/host/StoreConnections.java
+++ b/host/src/main/java/io/carawaylift/host/StoreConnections.java
@@ -33,12 +33,14 @@
     private final HostLoop loop;
     private final InetSocketAddress address;
     private final HostMetrics metrics;
+    private final InvalidMessages invalidMessages;
     private final Deque<OutboundConnection> idle = new ArrayDeque<>();
 
-    StoreConnections(HostLoop loop, InetSocketAddress address, HostMetrics metrics) {
+    StoreConnections(HostLoop loop, InetSocketAddress address, HostMetrics metrics, InvalidMessages invalidMessages) {
         this.loop = loop;
         this.address = address;
         this.metrics = metrics;
+        this.invalidMessages = invalidMessages;
     }
 
     @Override
@@ -53,6 +55,7 @@
                 if (opened == null) {
                     result.completeExceptionally(new IOException("no connection to the store: " + reason));
                 } else {
+                    opened.onInvalid(message -> invalidMessages.add("store", opened.peer(), message));
                     send(opened, request(method, target, body), timeout, result);
                 }
             });
@@ -100,13 +103,13 @@
     }
 
     private void release(OutboundConnection connection) {
-        loop.execute(() -> {
+        loop.execute(() -> connection.afterRequestWritten(() -> {
             if (connection.isReusable(System.nanoTime())) {
                 idle.addLast(connection);
             } else {
                 connection.close();
             }
-        });
+        }));
     }
 
     private OutboundConnection takeIdle() {
