--- a/host/src/main/java/io/carawaylift/host/http/MessageSyntax.java
+++ b/host/src/main/java/io/carawaylift/host/http/MessageSyntax.java
@@ -14,6 +14,9 @@
     /** More than any limit of the decoders behind, which refuse long heads by their own limits. */
     private static final int MAX_LINE_BYTES = 1024 * 1024;
 
+    /** Bytes of a line whose buffer an idle connection keeps. */
+    private static final int MAX_KEPT_LINE_BYTES = 1024;
+
     private static final int HEX_RADIX = 16;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int NO_CONTENT_STATUS = 204;
@@ -33,7 +36,7 @@
 
     private final boolean requests;
     private final BooleanSupplier headRequest;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private ByteArrayOutputStream line = new ByteArrayOutputStream();
     private Part part = Part.START_LINE;
     private boolean carriageReturn;
     private int status;
@@ -93,6 +96,9 @@
         if (next == '\n') {
             carriageReturn = false;
             String text = line.toString(StandardCharsets.ISO_8859_1);
+            if (line.size() > MAX_KEPT_LINE_BYTES) {
+                line = new ByteArrayOutputStream();
+            }
             line.reset();
             lineEnded(text);
         } else if (next == '\r') {
