Serve keyed requests only while the configuration is proved current

Cause: a host that no longer hears from the store goes on serving with keys that were withdrawn meanwhile. Where strictRevocation is set, a withdrawn key must not run a request sent later than revocationMs after the change was accepted.

An answered list or watch of the configuration proves the time at which it was sent, an empty watch also its wait. Followers ask the hosts they report to (FreshnessRequest, number 20), whose FreshnessReply (21) counts from the time of the request, if the digest agrees and the version in force is not higher than the own one. RequestAccess checks key and proof on arrival, when a queued request or a retry is decided and again before the bytes are written; without a proof it refuses with 503 (CONFIGURATION_UNPROVEN) and Retry-After. While proofs are required, a watch of the configuration waits no longer than the proof stays recent, so the watch after a change returns at once. Log events configuration.unproven and configuration.proven, gauges carawaylift.configuration.usable and carawaylift.configuration.proven.age.seconds.

--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -67,6 +67,7 @@
     private final String object;
     private final List<String> steps = new ArrayList<>();
     private Route route;
+    private RequestAccess access;
     private Optional<Customer> customer = Optional.empty();
     private long configurationVersion;
     private String service = "";
@@ -111,13 +112,12 @@
             return;
         }
         route = match.get();
-        Authorization authorization = Authorization.of(
-                table.get().customers(), route.publicAccess(), head.headers().getAll(RequestHeaders.CREDENTIAL));
-        if (!authorization.allowed()) {
-            finish(ResultCode.UNKNOWN_KEY, "no customer has the key");
+        access = new RequestAccess(forwarder.access(), route, head.headers().getAll(RequestHeaders.CREDENTIAL));
+        Authorization authorization = access.authorization();
+        customer = authorization.customer();
+        if (refuseIfNoAccess()) {
             return;
         }
-        customer = authorization.customer();
         if (id.isEmpty()) {
             finish(ResultCode.BAD_REQUEST, "no request id");
             return;
@@ -142,6 +142,13 @@
         sendOrQueue();
     }
 
+    /** Refuses the request if its key is not valid now; returns whether it did. */
+    private boolean refuseIfNoAccess() {
+        Optional<ResultCode> refusal = access.refusal();
+        refusal.ifPresent(code -> refuse(code, code.meaning()));
+        return refusal.isPresent();
+    }
+
     private long callerRemainingMillis() {
         String value = head.headers().get(RequestHeaders.REMAINING_MILLIS);
         if (value == null) {
@@ -178,6 +185,10 @@
             queued = false;
             return true;
         }
+        if (refuseIfNoAccess()) {
+            queued = false;
+            return true;
+        }
         long now = System.nanoTime();
         Decision decision = traffic.dispatcher().decide(dispatch, now);
         switch (decision.verdict()) {
@@ -246,6 +257,11 @@
                     new OutboundFailure(false, "the endpoint became unusable or the deadline passed while connecting"));
             return;
         }
+        if (refuseIfNoAccess()) {
+            sendEnded(endpoint);
+            forwarder.pool().release(endpoint, connection);
+            return;
+        }
         inFlightConnection = connection;
         mayHaveRun = true;
         runs++;
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -46,6 +46,7 @@
     private final EndpointConnectionPool pool;
     private final EndpointPicker picker;
     private final HostMembership membership;
+    private final RequestAccess.Source access;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
     private final Map<String, Double> roundTripMillisByRegion = new HashMap<>();
@@ -69,7 +70,8 @@
             StoreView storeView,
             EndpointRegistry registry,
             EndpointConnectionPool pool,
-            HostMembership membership) {
+            HostMembership membership,
+            RequestAccess.Source access) {
         this.options = options;
         this.limits = options.limits();
         this.loop = loop;
@@ -79,6 +81,7 @@
         this.registry = registry;
         this.pool = pool;
         this.membership = membership;
+        this.access = access;
         this.picker = new EndpointPicker(registry, options.host().failureDomain());
         this.regions = new LinkedHashSet<>(options.regionsByZone().values());
     }
@@ -143,6 +146,11 @@
         return storeView.isComplete() ? storeView.table() : Optional.empty();
     }
 
+    /** Returns what the check of a request's key depends on. */
+    RequestAccess.Source access() {
+        return access;
+    }
+
     /** Returns a random number between 0 and 1. */
     double randomFraction() {
         return random.nextDouble();
--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -537,6 +537,13 @@
                     .forEach(connection -> connection.send(message));
         }
 
+        @Override
+        public void sendToRelays(Message message) {
+            outgoingLinks.values().stream()
+                    .filter(outgoing -> outgoing.region().equals(ownRegion))
+                    .forEach(outgoing -> outgoing.link().send(message));
+        }
+
         @Override
         public void sendToAny(Message message) {
             incomingConnections.values().stream()
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -1,5 +1,6 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.customer.ClockReading;
 import io.carawaylift.decisions.fleet.EndpointRegistry;
 import io.carawaylift.decisions.route.CallerLimits;
 import io.carawaylift.decisions.route.RouteTable;
@@ -48,6 +49,7 @@
     private final StoreView storeView;
     private final HostMembership membership;
     private final EndpointConnectionPool pool;
+    private final ConfigurationFreshness freshness;
     private final Forwarder forwarder;
     private final CallerServer callers;
     private final Lookups lookups;
@@ -69,7 +71,24 @@
         this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report);
         BufferBudget buffers = new BufferBudget(options.buffers().maxTotalBytes());
         this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers);
-        this.forwarder = new Forwarder(options, loop, log, metrics, storeView, registry, pool, membership);
+        this.freshness = new ConfigurationFreshness(
+                options.bounds().revocationDelay().toMillis(),
+                ClockReading::now,
+                new FreshnessState(),
+                relay::sendToRelays,
+                log);
+        relay.setFreshness(freshness);
+        storeView.setFreshness(freshness);
+        this.forwarder = new Forwarder(
+                options,
+                loop,
+                log,
+                metrics,
+                storeView,
+                registry,
+                pool,
+                membership,
+                new RequestAccess.Source(storeView::customers, freshness));
         this.callers = new CallerServer(loop, this::callerLimits, buffers, forwarder);
         this.lookups = new Lookups(this::report, membership::liveHosts);
         storeView.onUnusable(forwarder::closeIdleConnections);
@@ -83,6 +102,8 @@
         metrics.gauge(
                 "carawaylift.configuration.version",
                 () -> storeView.table().map(RouteTable::version).orElse(0L));
+        metrics.gauge("carawaylift.configuration.proven.age.seconds", freshness::ageSeconds);
+        metrics.gauge("carawaylift.configuration.usable", () -> freshness.wasUsable() ? 1 : 0);
         relay.watchers().forEach(this::addGauges);
         metrics.gauge("carawaylift.buffers.bytes", buffers::usedBytes);
         metrics.gauge("carawaylift.log.dropped", log::droppedLines);
@@ -105,6 +126,7 @@
             membership.start();
             loop.every(PLAN_INTERVAL_MILLIS, forwarder::updatePlan);
             loop.every(SWEEP_INTERVAL_MILLIS, this::sweep);
+            loop.every(ConfigurationFreshness.CHECK_INTERVAL_MILLIS, freshness::check);
             loop.every(SETTINGS_CHECK_INTERVAL_MILLIS, this::reloadIfChanged);
         });
         log.event(
@@ -123,6 +145,8 @@
             // Addresses stay as bound at the start; a process with other addresses would be another host.
             options = changedOptions;
             forwarder.setLimits(changedOptions.limits());
+            freshness.setRevocationDelayMillis(
+                    changedOptions.bounds().revocationDelay().toMillis());
             log.event(
                     "reloaded",
                     line -> line.put("retryRatio", changedOptions.limits().retryRatio())
@@ -163,6 +187,28 @@
         log.close();
     }
 
+    private final class FreshnessState implements ConfigurationFreshness.State {
+        @Override
+        public boolean isProofRequired() {
+            return options.bounds().strictRevocation() && !storeView.customers().isEmpty();
+        }
+
+        @Override
+        public boolean isOwnProof() {
+            return relay.isRelay();
+        }
+
+        @Override
+        public long digest() {
+            return relay.digest(StoreKinds.CONFIGURATIONS);
+        }
+
+        @Override
+        public long version() {
+            return storeView.table().map(RouteTable::version).orElse(0L);
+        }
+    }
+
     /** Returns the address for callers' requests; null before the start. */
     InetSocketAddress callerAddress() {
         return callerAddress;
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.carawaylift.decisions.customer.ClockReading;
 import io.carawaylift.decisions.replica.ObjectTable;
 import io.carawaylift.model.RecordBytes;
 import io.carawaylift.peer.Message.ObjectChange;
@@ -96,6 +97,7 @@
     private boolean followsHost;
     private boolean renewed;
     private long currentNanos;
+    private ClockReading listStarted = ClockReading.now();
 
     /** Receives the objects of the kind on the event loop. */
     interface Listener {
@@ -112,6 +114,14 @@
 
         /** Called when all objects of the kind are known; may be called more than once. */
         void synchronizedWithStore();
+
+        /** Called when a call to the store showed that the known objects were those of the store at a time. */
+        default void proven(ClockReading at) {}
+
+        /** Returns the longest wait of a watch after which the proof by its response is still in time. */
+        default Duration maxWatchWait() {
+            return Duration.ofDays(1);
+        }
     }
 
     /**
@@ -203,6 +213,9 @@
     }
 
     private void list(ObjectStoreClient.ListMode mode, String after, long earlierRevision, List<StoreItem> items) {
+        if (after.isEmpty()) {
+            listStarted = ClockReading.now();
+        }
         calls.await(store.list(kind, after, mode), (page, failure) -> {
             if (failure != null) {
                 failed(failure);
@@ -257,6 +270,9 @@
             return;
         }
         loaded("store", items.size());
+        if (mode == ObjectStoreClient.ListMode.LATEST) {
+            listener.proven(listStarted);
+        }
         relay.sendPositions();
         continueFollowing();
     }
@@ -314,8 +330,10 @@
     }
 
     private void watch() {
-        Duration wait = watchTimeout();
-        long sentNanos = System.nanoTime();
+        Duration limit = listener.maxWatchWait();
+        Duration wait = watchTimeout().compareTo(limit) < 0 ? watchTimeout() : limit;
+        ClockReading sent = ClockReading.now();
+        long sentNanos = sent.monotonicNanos();
         calls.await(store.watch(kind, revision, wait), (changes, failure) -> {
             if (failure == null) {
                 long graceMillis = storeAvailable && !renewed ? 0 : graceMillis();
@@ -324,6 +342,7 @@
                 if (!fullyLoaded) {
                     loaded("store", table.all().size());
                 }
+                listener.proven(provenTime(sent, wait, changes.changes().isEmpty()));
                 continueAfter(changes);
                 if (System.nanoTime() - sentNanos < wait.toNanos() + MAX_RESPONSE_DELAY_NANOS) {
                     relay.sendPositions();
@@ -337,6 +356,15 @@
         });
     }
 
+    /**
+     * Returns the time at which the objects known after a watch were those of the store: an empty response shows that
+     * there was no change until the end of the wait, any other shows only the changes known when the call was sent.
+     */
+    private static ClockReading provenTime(ClockReading sent, Duration wait, boolean empty) {
+        boolean waited = System.nanoTime() - sent.monotonicNanos() >= wait.toNanos();
+        return empty && waited ? sent.plusMillis(wait.toMillis()) : sent;
+    }
+
     private Duration watchTimeout() {
         if (!fullyLoaded || !storeAvailable) {
             return IMMEDIATE_WATCH_TIMEOUT;
--- a/host/src/main/java/io/carawaylift/host/StoreRelay.java
+++ b/host/src/main/java/io/carawaylift/host/StoreRelay.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Passes changes that one host of a region receives from the store on to the other hosts of the region, so that calls
@@ -22,6 +23,7 @@
     private final Map<String, KindWatcher> watchers = new LinkedHashMap<>();
     private final String confirmingKind;
     private Region region = new NoOtherHosts();
+    private Optional<ConfigurationFreshness> freshness = Optional.empty();
 
     /**
      * Creates a relay. The watches of {@code confirmingKind} are frequent enough to show that the store is reachable.
@@ -41,10 +43,28 @@
         /** Sends a message to the other hosts of the region that are connected to this one. */
         void send(Message message);
 
+        /** Sends a message to the hosts of the region that this one reports to. */
+        default void sendToRelays(Message message) {}
+
         /** Sends a message to one connected host, of any region; does nothing if there is none. */
         void sendToAny(Message message);
     }
 
+    /** Sets what handles the messages about the age of the configuration. */
+    void setFreshness(ConfigurationFreshness configuration) {
+        freshness = Optional.of(configuration);
+    }
+
+    /** Sends a message to the hosts of the region that this one reports to. */
+    void sendToRelays(Message message) {
+        region.sendToRelays(message);
+    }
+
+    /** Returns the digest of the names and revisions of all objects of a kind. */
+    long digest(String kind) {
+        return watchers.get(kind).position().digest();
+    }
+
     void setRegion(Region others) {
         region = others;
     }
@@ -127,12 +147,15 @@
                     watcher.applyPosition(position, positions.current());
                 }
             }
+            freshness.ifPresent(ConfigurationFreshness::check);
         } else if (message instanceof Message.ObjectsRequest request) {
             KindWatcher watcher = watchers.get(request.kind());
             if (watcher != null && watcher.isFullyLoaded()) {
                 inMessages(request.kind(), watcher.objects()).forEach(connection::send);
                 connection.send(new Message.ObjectPositions(false, List.of(watcher.position())));
             }
+        } else {
+            freshness.ifPresent(each -> each.messageReceived(connection, message));
         }
     }
 
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -1,5 +1,7 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.customer.ClockReading;
+import io.carawaylift.decisions.customer.CustomerDirectory;
 import io.carawaylift.decisions.fleet.EndpointEntry;
 import io.carawaylift.decisions.fleet.EndpointRegistry;
 import io.carawaylift.decisions.fleet.EndpointStatus;
@@ -11,6 +13,7 @@
 import io.carawaylift.platform.store.ObjectStoreClient.ListMode;
 import io.carawaylift.platform.store.StoreItem;
 import io.carawaylift.platform.store.StoreKinds;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +37,7 @@
     private final Set<String> ignoredEntries = new HashSet<>();
     private Consumer<EndpointStatus> onUnusable = endpoint -> {};
     private Runnable onChange = () -> {};
+    private ConfigurationFreshness freshness;
     private RouteTable table;
     private boolean endpointsKnown;
     private boolean evacuationsKnown;
@@ -90,6 +94,11 @@
         onChange = action;
     }
 
+    /** Sets what receives the times at which the known configuration was that of the store; before the start. */
+    void setFreshness(ConfigurationFreshness configuration) {
+        freshness = configuration;
+    }
+
     void start() {
         watchers.forEach(KindWatcher::start);
     }
@@ -103,6 +112,11 @@
         return Optional.ofNullable(table);
     }
 
+    /** Returns the customers of the latest valid configuration, none if no configuration is known yet. */
+    CustomerDirectory customers() {
+        return table == null ? CustomerDirectory.EMPTY : table.customers();
+    }
+
     /** Returns the number of entries of endpoints in the store that cannot be used. */
     int ignoredEntries() {
         return ignoredEntries.size();
@@ -151,6 +165,16 @@
 
         @Override
         public void synchronizedWithStore() {}
+
+        @Override
+        public void proven(ClockReading at) {
+            freshness.proven(at);
+        }
+
+        @Override
+        public Duration maxWatchWait() {
+            return freshness.maxWatchWait();
+        }
     }
 
     private final class EndpointListener implements KindWatcher.Listener {
--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -21,6 +21,7 @@
     private final boolean ownsStore;
     private final String id;
     private final int peerPort;
+    private final String limits;
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
     private final Path settingsPath = Files.createTempFile("host", ".toml");
@@ -34,7 +35,7 @@
     }
 
     HostFixture(double gracePeriodSeconds) throws IOException {
-        this(new SimulatedStore(), true, "host-1", gracePeriodSeconds, 0);
+        this(new SimulatedStore(), true, "host-1", gracePeriodSeconds, 0, "");
     }
 
     /** Starts a host that shares a store with other hosts. */
@@ -44,17 +45,24 @@
 
     /** Starts a host that shares a store with other hosts and listens to them on a given port. */
     HostFixture(SimulatedStore store, String id, int peerPort) throws IOException {
-        this(store, false, id, 0.2, peerPort);
+        this(store, false, id, 0.2, peerPort, "");
     }
 
-    private HostFixture(SimulatedStore store, boolean ownsStore, String id, double gracePeriodSeconds, int peerPort)
+    /** Starts a host that shares a store with other hosts and has further settings of limits. */
+    HostFixture(SimulatedStore store, String id, String limits) throws IOException {
+        this(store, false, id, 0.2, 0, limits);
+    }
+
+    private HostFixture(
+            SimulatedStore store, boolean ownsStore, String id, double gracePeriodSeconds, int peerPort, String limits)
             throws IOException {
+        this.limits = limits;
         this.peerPort = peerPort;
         this.store = store;
         this.ownsStore = ownsStore;
         this.id = id;
         this.gracePeriodSeconds = gracePeriodSeconds;
-        Files.writeString(settingsPath, settings(id, peerPort, store.address(), gracePeriodSeconds, 0.2));
+        Files.writeString(settingsPath, settings(id, peerPort, store.address(), gracePeriodSeconds, 0.2, limits));
         Settings settings = Settings.read(settingsPath);
         EventLog log = new EventLog(id, logOutput);
         host = new HostService(
@@ -63,6 +71,11 @@
     }
 
     static String settings(String id, int peerPort, String storeAddress, double gracePeriodSeconds, double retryRatio) {
+        return settings(id, peerPort, storeAddress, gracePeriodSeconds, retryRatio, "");
+    }
+
+    private static String settings(
+            String id, int peerPort, String storeAddress, double gracePeriodSeconds, double retryRatio, String limits) {
         return """
                 [host]
                 id = "%s"
@@ -84,12 +97,13 @@
                 grace_period_s = %s
                 retry_ratio = %s
                 retry_allowance = 60
-                """.formatted(id, peerPort, storeAddress, gracePeriodSeconds, retryRatio);
+                %s
+                """.formatted(id, peerPort, storeAddress, gracePeriodSeconds, retryRatio, limits);
     }
 
     /** Rewrites the settings file while the host runs. */
     void changeRetryRatio(double ratio) throws IOException {
-        Files.writeString(settingsPath, settings(id, peerPort, store.address(), gracePeriodSeconds, ratio));
+        Files.writeString(settingsPath, settings(id, peerPort, store.address(), gracePeriodSeconds, ratio, limits));
     }
 
     /**
--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -222,4 +222,22 @@
 
     /** Requests all objects of a kind that the receiver knows; sent by a process that cannot reach the platform. */
     record ObjectsRequest(String kind) implements Message {}
+
+    /**
+     * Asks a host when its configuration was last proved to be that of the platform. A proof must be asked for, because
+     * a message that is sent unasked may be delayed for seconds.
+     *
+     * @param token identifies the request in the reply
+     */
+    record FreshnessRequest(long token) implements Message {}
+
+    /**
+     * Replies to a {@link FreshnessRequest}; not sent by a host without a usable proof.
+     *
+     * @param digest digest of the configuration's names and revisions; the reply proves nothing to a host with another
+     * @param ageMillis time since the proof, measured by the sender
+     * @param version version of the configuration in force at the sender; the reply proves nothing to a host with a
+     *     lower one
+     */
+    record FreshnessReply(long token, long digest, long ageMillis, long version) implements Message {}
 }
--- a/peer/src/main/java/io/carawaylift/peer/MessageType.java
+++ b/peer/src/main/java/io/carawaylift/peer/MessageType.java
@@ -18,7 +18,9 @@
     OBJECT_CHANGES(14, Message.ObjectChanges.class),
     OBJECT_POSITIONS(15, Message.ObjectPositions.class),
     OBJECTS_REQUEST(16, Message.ObjectsRequest.class),
-    REGION_REPORTS(17, Message.RegionReports.class);
+    REGION_REPORTS(17, Message.RegionReports.class),
+    FRESHNESS_REQUEST(20, Message.FreshnessRequest.class),
+    FRESHNESS_REPLY(21, Message.FreshnessReply.class);
 
     private final int number;
     private final Class<? extends Message> messageClass;
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -49,6 +49,8 @@
                                 new Message.ObjectChange("b", 6, true, 1500, RecordBytes.of("")))),
                 new Message.ObjectPositions(true, List.of(new Message.ObjectPosition("kind", 9, -7))),
                 new Message.ObjectsRequest("kind"),
+                new Message.FreshnessRequest(5),
+                new Message.FreshnessReply(5, -9, 1234, 7),
                 new Message.RegionReports(List.of(
                         new Message.RegionReport(
                                 "r",
