--- a/decisions/src/test/java/io/carawaylift/decisions/customer/AuthorizationTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/customer/AuthorizationTest.java
@@ -1,8 +1,12 @@
 package io.carawaylift.decisions.customer;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.carawaylift.decisions.customer.CustomerDirectory.IgnoredEntry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -90,4 +94,43 @@
         assertThat(check("key-n1").mayRunIn("r2")).isFalse();
         assertThat(check("key-s").mayRunIn("r2")).isTrue();
     }
+
+    /** Load: 76 customers with 8 keys each. Guards against a search through all keys. */
+    @Test
+    void aKeyIsFoundAmongHundredsByOneLookUp() {
+        Map<Customer, Set<String>> keys = new HashMap<>();
+        List<String> all = new ArrayList<>();
+        for (int i = 0; i < 76; i++) {
+            Set<String> ofCustomer = new HashSet<>();
+            for (int j = 0; j < 8; j++) {
+                ofCustomer.add("key-" + i * 7919L + "-" + j);
+            }
+            all.addAll(ofCustomer);
+            keys.put(customer("customer-" + i, OptionalInt.empty(), Set.of()), ofCustomer);
+        }
+        CustomerDirectory many = new CustomerDirectory(keys);
+        CustomerDirectory one = new CustomerDirectory(Map.of(SOUTH, Set.copyOf(all.subList(0, 8))));
+
+        double manyNanos = leastNanos(many, all);
+        double oneNanos = leastNanos(one, all.subList(0, 8));
+        // A search through 608 keys would take some 76 times as long as one through 8.
+        assertWithMessage("nanoseconds with 608 keys and with 8: %s, %s", manyNanos, oneNanos)
+                .that(manyNanos)
+                .isLessThan(20 * oneNanos + 100);
+    }
+
+    private static double leastNanos(CustomerDirectory customers, List<String> keys) {
+        List<List<String>> values = keys.stream().map(List::of).toList();
+        double least = Double.POSITIVE_INFINITY;
+        for (int round = 0; round < 200; round++) {
+            long start = System.nanoTime();
+            int allowed = 0;
+            for (List<String> value : values) {
+                allowed += Authorization.of(customers, false, value).allowed() ? 1 : 0;
+            }
+            least = Math.min(least, (double) (System.nanoTime() - start) / values.size());
+            assertThat(allowed).isEqualTo(values.size());
+        }
+        return least;
+    }
 }
