--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -47,6 +47,7 @@
     private final EndpointPicker picker;
     private final HostMembership membership;
     private final EndpointPushBack pushBack;
+    private final RequestAccess.Source access;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
     private final Map<String, Double> roundTripMillisByRegion = new HashMap<>();
@@ -70,7 +71,8 @@
             StoreView storeView,
             EndpointRegistry registry,
             EndpointConnectionPool pool,
-            HostMembership membership) {
+            HostMembership membership,
+            RequestAccess.Source access) {
         this.options = options;
         this.limits = options.limits();
         this.loop = loop;
@@ -88,6 +90,7 @@
                 this::closeIdleConnections,
                 this::sendQueuedRequests,
                 membership::broadcast);
+        this.access = access;
         this.picker = new EndpointPicker(registry, options.host().failureDomain());
         this.regions = new LinkedHashSet<>(options.regionsByZone().values());
     }
@@ -156,6 +159,11 @@
         return storeView.isComplete() ? storeView.table() : Optional.empty();
     }
 
+    /** Returns what the check of a request's key depends on. */
+    RequestAccess.Source access() {
+        return access;
+    }
+
     /** Returns a random number between 0 and 1. */
     double randomFraction() {
         return random.nextDouble();
--- a/peer/src/main/java/io/carawaylift/peer/MessageType.java
+++ b/peer/src/main/java/io/carawaylift/peer/MessageType.java
@@ -19,6 +19,8 @@
     OBJECT_POSITIONS(15, Message.ObjectPositions.class),
     OBJECTS_REQUEST(16, Message.ObjectsRequest.class),
     REGION_REPORTS(17, Message.RegionReports.class),
+    FRESHNESS_REQUEST(20, Message.FreshnessRequest.class),
+    FRESHNESS_REPLY(21, Message.FreshnessReply.class),
     ENDPOINT_LEAVING(24, Message.EndpointLeaving.class);
 
     private final int number;
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -50,6 +50,8 @@
                 new Message.ObjectPositions(true, List.of(new Message.ObjectPosition("kind", 9, -7))),
                 new Message.ObjectsRequest("kind"),
                 new Message.EndpointLeaving("endpoint-1", 7L),
+                new Message.FreshnessRequest(5),
+                new Message.FreshnessReply(5, -9, 1234, 7),
                 new Message.RegionReports(List.of(
                         new Message.RegionReport(
                                 "r",
