Check a configuration of the users' platform before it is sent

Cause: hosts refuse or ignore parts of a configuration only after it was accepted, and entries without effect show nowhere.

--- a/cli/src/main/java/io/carawaylift/cli/CarawayliftCommand.java
+++ b/cli/src/main/java/io/carawaylift/cli/CarawayliftCommand.java
@@ -17,6 +17,7 @@
         commands = {
             Help.class,
             CheckCommand.class,
+            CheckConfigurationCommand.class,
             DiffCommand.class,
             ApplyCommand.class,
             ShowCommand.class,
--- a/decisions/src/main/java/io/carawaylift/decisions/customer/CustomerDirectory.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/customer/CustomerDirectory.java
@@ -88,6 +88,11 @@
         return Optional.ofNullable(byName.get(name));
     }
 
+    /** Returns whether any key identifies the customer. */
+    public boolean hasUsableKey(Customer customer) {
+        return byKey.containsValue(customer);
+    }
+
     /** Returns the entries that define no customer. */
     public List<IgnoredEntry> ignoredEntries() {
         return ignoredEntries;
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -81,4 +81,15 @@
     void malformedBytesAreRejectedWithAResultCode() {
         assertThrows(CarawayliftException.class, () -> MessageCodec.decode(new byte[] {3, (byte) 0xc1}));
     }
+
+    /** Guards against messages between each host and its relays, several times a second, that grow unnoticed. */
+    @Test
+    void messagesAboutTheAgeOfTheConfigurationAreShort() {
+        assertThat(MessageCodec.encode(new Message.FreshnessRequest(Long.MAX_VALUE)).length)
+                .isAtMost(11);
+        assertThat(MessageCodec.encode(new Message.FreshnessReply(
+                                Long.MAX_VALUE, Long.MIN_VALUE, Long.MAX_VALUE, Long.MAX_VALUE))
+                        .length)
+                .isAtMost(38);
+    }
 }
