--- a/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
+++ b/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
@@ -9,6 +9,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 /** Pools connections to endpoints. Used on the event loop only. */
 final class EndpointConnectionPool {
@@ -19,15 +20,30 @@
     private final HostMetrics metrics;
     private final HostOptions.BufferLimits limits;
     private final BufferBudget budget;
+    private final Predicate<EndpointStatus> usable;
+    private final InvalidMessages invalidMessages;
     private final Map<EndpointStatus, Deque<OutboundConnection>> idle = new HashMap<>();
     private final Map<EndpointStatus, BufferBudget> budgets = new HashMap<>();
 
-    /** Creates a pool; {@code budget} bounds the responses of all endpoints together. */
-    EndpointConnectionPool(HostLoop loop, HostMetrics metrics, HostOptions.BufferLimits limits, BufferBudget budget) {
+    /**
+     * Creates a pool.
+     *
+     * @param budget bounds the responses of all endpoints together
+     * @param usable whether an endpoint may get further requests; connections to others are not kept
+     */
+    EndpointConnectionPool(
+            HostLoop loop,
+            HostMetrics metrics,
+            HostOptions.BufferLimits limits,
+            BufferBudget budget,
+            Predicate<EndpointStatus> usable,
+            InvalidMessages invalidMessages) {
+        this.usable = usable;
         this.loop = loop;
         this.metrics = metrics;
         this.limits = limits;
         this.budget = budget;
+        this.invalidMessages = invalidMessages;
     }
 
     /** Passes an idle or a new connection to {@code result}, or null and the reason if connecting failed. */
@@ -46,21 +62,22 @@
         OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, responses, (connection, reason) -> {
             if (connection != null) {
                 connection.onClose(() -> remove(endpoint, connection));
+                connection.onInvalid(message -> invalidMessages.add("endpoint", connection.peer(), message));
             }
             result.accept(connection, reason);
         });
     }
 
-    /** Returns a connection after a response; it is closed if it is not reusable. */
+    /** Returns a connection after a response; it is closed if it or the endpoint is not usable any more. */
     void release(EndpointStatus endpoint, OutboundConnection connection) {
         // Deferred, so that extra bytes that arrived with the response are detected before the next request is sent.
-        loop.execute(() -> {
-            if (connection.isReusable(System.nanoTime())) {
+        loop.execute(() -> connection.afterRequestWritten(() -> {
+            if (usable.test(endpoint) && connection.isReusable(System.nanoTime())) {
                 idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>()).addLast(connection);
             } else {
                 connection.close();
             }
-        });
+        }));
     }
 
     /** Closes idle connections that expired or were closed by the endpoint. */
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -46,6 +46,7 @@
     private final EndpointConnectionPool pool;
     private final EndpointPicker picker;
     private final HostMembership membership;
+    private final EndpointPushBack pushBack;
     private final RequestAccess.Source access;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
@@ -81,6 +82,14 @@
         this.registry = registry;
         this.pool = pool;
         this.membership = membership;
+        this.pushBack = new EndpointPushBack(
+                registry,
+                loop,
+                log,
+                metrics,
+                this::closeIdleConnections,
+                this::sendQueuedRequests,
+                membership::broadcast);
         this.access = access;
         this.picker = new EndpointPicker(registry, options.host().failureDomain());
         this.regions = new LinkedHashSet<>(options.regionsByZone().values());
@@ -133,6 +142,10 @@
         return registry;
     }
 
+    EndpointPushBack pushBack() {
+        return pushBack;
+    }
+
     EndpointConnectionPool pool() {
         return pool;
     }
