Let a follower prove the configuration itself when its relay is silent

Cause: a follower whose relay is lost relies on it for another 1.5 s; its proof can be 2.7 s old by then, so it would refuse keyed requests although it reaches the store.

Change: from 0.8 of the usable age on, which is reached only without replies, a follower reads the configuration from the store once. A relay renews its proof at 0.7 of it instead of 0.75, so that followers stay below 0.8 in normal operation.

--- a/host/src/main/java/io/carawaylift/host/ConfigurationFreshness.java
+++ b/host/src/main/java/io/carawaylift/host/ConfigurationFreshness.java
@@ -20,8 +20,14 @@
     /** Interval of the checks. Replies of a relay are needed several times in the usable age of a proof. */
     static final long CHECK_INTERVAL_MILLIS = 300;
 
-    /** Leaves 0.9 s of 3.5 s for two or three requests of a follower. */
-    private static final double RENEWAL_AGE_FRACTION = 0.75;
+    /** Leaves 1 s of 3.5 s for two or three requests of a follower. */
+    private static final double RENEWAL_AGE_FRACTION = 0.7;
+
+    /**
+     * Above the age that a follower's proof reaches while its relay replies (2.7 of 3.5 s), and early enough for the
+     * next check and a slow call to the store before the proof is too old.
+     */
+    private static final double OWN_PROOF_AGE_FRACTION = 0.8;
 
     /** Longest usual time of a response of the store beyond the wait. */
     private static final long RESPONSE_DELAY_MILLIS = 240;
@@ -44,6 +50,9 @@
         /** Returns whether the host's own calls to the store are the proof, so that no other host is asked. */
         boolean isOwnProof();
 
+        /** Reads the configuration from the store if {@link ConfigurationFreshness#isOwnProofDue}. */
+        void readStoreIfDue();
+
         /** Returns the digest of the configuration's names and revisions. */
         long digest();
 
@@ -89,6 +98,12 @@
         return Duration.ofMillis(Math.max(1, renewalAgeMillis - ageMillis - RESPONSE_DELAY_MILLIS));
     }
 
+    /** Returns whether the relays have not renewed the proof in time, so that the host must read the store itself. */
+    boolean isOwnProofDue() {
+        return state.isProofRequired()
+                && freshness.ageMillis(clock.get()) > OWN_PROOF_AGE_FRACTION * freshness.usableMillis();
+    }
+
     /** Returns whether a request with a key may be sent to an endpoint now. */
     boolean isUsable() {
         ClockReading now = clock.get();
@@ -125,6 +140,7 @@
     void check() {
         isUsable();
         if (state.isProofRequired() && !state.isOwnProof()) {
+            state.readStoreIfDue();
             requests.next(clock.get()).ifPresent(token -> sendToRelays.accept(new FreshnessRequest(token)));
         }
     }
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -203,6 +203,11 @@
             return relay.isRelay();
         }
 
+        @Override
+        public void readStoreIfDue() {
+            relay.readIfDue(StoreKinds.CONFIGURATIONS);
+        }
+
         @Override
         public long digest() {
             return relay.digest(StoreKinds.CONFIGURATIONS);
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -122,6 +122,11 @@
         default Duration maxWatchWait() {
             return Duration.ofDays(1);
         }
+
+        /** Returns whether the store is to be read although another host confirms the objects. */
+        default boolean isOwnProofDue() {
+            return false;
+        }
     }
 
     /**
@@ -309,7 +314,7 @@
 
     private void continueFollowing() {
         long remainingNanos = CONFIRMATION_LIFETIME_NANOS - (System.nanoTime() - confirmedNanos);
-        boolean confirmed = everConfirmed && remainingNanos > 0 && !relay.isRelay();
+        boolean confirmed = everConfirmed && remainingNanos > 0 && !relay.isRelay() && !listener.isOwnProofDue();
         setFollowsHost(confirmed);
         if (confirmed) {
             calls.pause(TimeUnit.NANOSECONDS.toMillis(remainingNanos) + 1);
@@ -318,6 +323,13 @@
         }
     }
 
+    /** Reads the store now if its reader needs that; does nothing if a call is under way. */
+    void readIfDue() {
+        if (followsHost && listener.isOwnProofDue()) {
+            calls.resume();
+        }
+    }
+
     private void setFollowsHost(boolean newValue) {
         if (followsHost != newValue) {
             followsHost = newValue;
--- a/host/src/main/java/io/carawaylift/host/StoreRelay.java
+++ b/host/src/main/java/io/carawaylift/host/StoreRelay.java
@@ -60,6 +60,11 @@
         region.sendToRelays(message);
     }
 
+    /** Reads a kind from the store now if its reader needs that although another host confirms it. */
+    void readIfDue(String kind) {
+        watchers.get(kind).readIfDue();
+    }
+
     /** Returns the digest of the names and revisions of all objects of a kind. */
     long digest(String kind) {
         return watchers.get(kind).position().digest();
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -171,6 +171,11 @@
             freshness.proven(at);
         }
 
+        @Override
+        public boolean isOwnProofDue() {
+            return freshness.isOwnProofDue();
+        }
+
         @Override
         public Duration maxWatchWait() {
             return freshness.maxWatchWait();
--- a/host/src/test/java/io/carawaylift/host/ConfigurationFreshnessTest.java
+++ b/host/src/test/java/io/carawaylift/host/ConfigurationFreshnessTest.java
@@ -28,8 +28,8 @@
     private static final int FOLLOWERS = 22;
     private static final long REVOCATION_DELAY_MILLIS = 5000;
 
-    /** Wait of a watch of the configuration plus two answers that take the store's longest usual time. */
-    private static final long WATCH_MILLIS = 2300;
+    /** Longest wait of a watch, unless the proof needs a shorter one. */
+    private static final long WATCH_MILLIS = 1900;
 
     private static final long SLOW_ANSWER_MILLIS = 240;
     private static final long LATENCY_MILLIS = 4;
@@ -43,8 +43,11 @@
     private long nowMillis;
     private long eventNumber;
     private long messages;
+    private long storeReads;
     private long linkDelayMillis;
     private boolean storeAnswers = true;
+    private boolean relayRuns = true;
+    private boolean followersReachStore;
     private CustomerDirectory customers = CustomerDirectory.EMPTY;
 
     private record Event(long millis, long number, Runnable action) {}
@@ -80,6 +83,15 @@
             return isRelay;
         }
 
+        @Override
+        public void readStoreIfDue() {
+            if (freshness.isOwnProofDue() && followersReachStore) {
+                storeReads++;
+                ClockReading sent = clock();
+                after(SLOW_ANSWER_MILLIS, () -> freshness.proven(sent));
+            }
+        }
+
         @Override
         public long digest() {
             return digest;
@@ -114,6 +126,9 @@
 
     private void send(Node to, Node from, Message message) {
         messages++;
+        if (!relayRuns) {
+            return;
+        }
         after(LATENCY_MILLIS + linkDelayMillis, () -> to.freshness.messageReceived(new Reply(this, from, to), message));
     }
 
@@ -142,9 +157,10 @@
 
     private void watch() {
         ClockReading sent = relay.clock();
-        after(WATCH_MILLIS + SLOW_ANSWER_MILLIS, () -> {
+        long wait = Math.min(WATCH_MILLIS, relay.freshness.maxWatchWait().toMillis());
+        after(wait + SLOW_ANSWER_MILLIS, () -> {
             if (storeAnswers) {
-                relay.freshness.proven(sent.plusMillis(WATCH_MILLIS));
+                relay.freshness.proven(sent.plusMillis(wait));
             }
             watch();
         });
@@ -177,15 +193,31 @@
     void inNormalOperationNoFollowerStops() {
         start();
         run(6000);
+        followersReachStore = true;
         messages = 0;
         for (int i = 0; i < 60_000; i += 10) {
             run(10);
             assertThat(usableFollowers()).isEqualTo(FOLLOWERS);
         }
+        assertThat(storeReads).isEqualTo(0);
         // Of each follower, requests and replies together.
         assertThat(messages / 60.0 / FOLLOWERS).isLessThan(6.0);
     }
 
+    /** Guards against followers that stop for a while because their relay lost power. */
+    @Test
+    void followersReadTheStoreBeforeTheyStopWhenTheirRelayIsLost() {
+        start();
+        run(10_000);
+        followersReachStore = true;
+        relayRuns = false;
+        for (int i = 0; i < 6000; i += 10) {
+            run(10);
+            assertThat(usableFollowers()).isEqualTo(FOLLOWERS);
+        }
+        assertThat(storeReads).isAtMost(3L * FOLLOWERS);
+    }
+
     /** Guards against followers that go on although the store stopped answering, and against missing log lines. */
     @Test
     void withoutAnswersAllStopInTimeAndResume() {
--- a/host/src/test/java/io/carawaylift/host/StrictRevocationTest.java
+++ b/host/src/test/java/io/carawaylift/host/StrictRevocationTest.java
@@ -142,4 +142,29 @@
             host.awaitLine("configuration.proven");
         }
     }
+
+    /** Guards against followers that refuse keyed requests until another host follows the store for them. */
+    @Test
+    void theOthersGoOnWhenTheRelayStops() throws InterruptedException {
+        for (HostFixture host : hosts) {
+            if (host.metric("carawaylift_store_relay") == 1) {
+                host.stopHost();
+                serveWithout(host);
+                return;
+            }
+        }
+        throw new AssertionError("no host follows the store");
+    }
+
+    private void serveWithout(HostFixture stopped) throws InterruptedException {
+        long start = System.nanoTime();
+        while (millisSince(start) < 8000) {
+            for (HostFixture host : hosts) {
+                if (host != stopped) {
+                    assertThat(status(host, "/keyed/1", "key-1")).isEqualTo(200);
+                }
+            }
+            Thread.sleep(40);
+        }
+    }
 }
