--- a/decisions/src/main/java/io/carawaylift/decisions/admission/EndpointHealth.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/admission/EndpointHealth.java
@@ -37,16 +37,18 @@
         }
     }
 
-    /** Records a response of the endpoint. A response to a probe ends the suspension. */
-    public void succeeded(String endpoint, long nowNanos) {
+    /** Records a response of the endpoint. A response to a probe ends the suspension; returns whether it did. */
+    public boolean succeeded(String endpoint, long nowNanos) {
         State state = states.get(endpoint);
         if (state == null) {
-            return;
+            return false;
         }
         // A late response to a request from before the suspension does not show that the endpoint has recovered.
         if (state.probeIntervalNanos == 0 || state.probing) {
             states.remove(endpoint);
+            return state.probeIntervalNanos > 0;
         }
+        return false;
     }
 
     /** Records a connection failure, a refusal, a timeout or a truncated response. */
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/AdmissionLimits.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/AdmissionLimits.java
@@ -1,8 +1,12 @@
 package io.carawaylift.decisions.dispatch;
 
+import io.carawaylift.decisions.fleet.ProcessingTimes;
 import java.util.concurrent.TimeUnit;
 
-/** How long a request waits for an endpoint and how late a response may be expected. */
+/**
+ * How long a request waits for an endpoint and how late a response may be expected. In overload a slot goes to a request
+ * that can still be served in time, since a late response is worth a fifth of it or less.
+ */
 final class AdmissionLimits {
     /**
      * Fraction of the target latency for which a request waits before a response later than the target is accepted; a
@@ -13,9 +17,18 @@
     /** Fraction of the timeout after which a waiting request is refused, so that its caller still has time to retry. */
     private static final double MAX_WAIT_FRACTION = 0.15;
 
+    /** Fraction of the timeout after which a request that can still be served in time is refused in overload. */
+    private static final double PATIENT_WAIT_FRACTION = 0.4;
+
     /** Fraction of the timeout within which the response must be expected once the target latency cannot be met. */
     private static final double LATE_RESPONSE_FRACTION = 0.45;
 
+    /**
+     * Multiple of the expected processing time within which the response must be expected in overload, for routes whose
+     * target is below their processing time.
+     */
+    private static final double PROCESSING_ALLOWANCE = 1.2;
+
     private AdmissionLimits() {}
 
     /** Returns the wait in milliseconds after which a response later than the target is accepted. */
@@ -28,11 +41,24 @@
         return Math.max(targetWaitMillis(request) + 1, (long) (MAX_WAIT_FRACTION * request.timeoutMillis()));
     }
 
+    /**
+     * Returns the wait in milliseconds after which the request is refused in overload: when it could not be served in
+     * time any more even if the endpoint had its object cached.
+     */
+    static long maxOverloadWaitMillis(DispatchRequest request, ProcessingTimes times) {
+        double inTime = request.targetMillis() - PROCESSING_ALLOWANCE * times.expectedMillis(true);
+        double patient = Math.min(inTime, PATIENT_WAIT_FRACTION * request.timeoutMillis());
+        return Math.max(targetWaitMillis(request) + 1, (long) patient);
+    }
+
     /** Returns the latency from the arrival within which the response must be expected now. */
-    static double maxLatencyMillis(DispatchRequest request, long nowNanos) {
+    static double maxLatencyMillis(DispatchRequest request, ProcessingTimes times, boolean overload, long nowNanos) {
         boolean acceptsLate = request.waitedNanos(nowNanos) >= TimeUnit.MILLISECONDS.toNanos(targetWaitMillis(request));
-        return acceptsLate
-                ? Math.max((double) request.targetMillis(), LATE_RESPONSE_FRACTION * request.timeoutMillis())
-                : (double) request.targetMillis();
+        if (!acceptsLate) {
+            return (double) request.targetMillis();
+        }
+        double late = LATE_RESPONSE_FRACTION * request.timeoutMillis();
+        double latest = overload ? Math.min(late, PROCESSING_ALLOWANCE * times.expectedMillis(false)) : late;
+        return Math.max((double) request.targetMillis(), latest);
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/DispatchRequest.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/DispatchRequest.java
@@ -1,5 +1,6 @@
 package io.carawaylift.decisions.dispatch;
 
+import io.carawaylift.decisions.fleet.ProcessingTimes;
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
@@ -18,6 +19,7 @@
     private final long deadlineNanos;
     private final boolean largeResponse;
     private final Predicate<String> mayRunIn;
+    private final ProcessingTimes times;
     private final Set<String> excluded = new HashSet<>();
     private String region = "";
     private boolean waiting;
@@ -32,6 +34,7 @@
         this.deadlineNanos = builder.deadlineNanos;
         this.largeResponse = builder.largeResponse;
         this.mayRunIn = builder.mayRunIn;
+        this.times = builder.times;
     }
 
     /** Returns a builder of a request without an object that may run in every region. */
@@ -49,6 +52,11 @@
         return priority;
     }
 
+    /** Returns the processing times of requests like this one; null if those of the service apply. */
+    public ProcessingTimes times() {
+        return times;
+    }
+
     /** Returns when the request arrived at the host. */
     public long arrivedNanos() {
         return arrivedNanos;
@@ -116,6 +124,7 @@
         private long deadlineNanos;
         private boolean largeResponse;
         private Predicate<String> mayRunIn = region -> true;
+        private ProcessingTimes times;
 
         private Builder() {}
 
@@ -167,6 +176,12 @@
             return this;
         }
 
+        /** Sets the processing times of the route; those of the service apply without them. */
+        public Builder times(ProcessingTimes ofRoute) {
+            times = ofRoute;
+            return this;
+        }
+
         /** Creates the request. */
         public DispatchRequest build() {
             return new DispatchRequest(this);
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntToDoubleFunction;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
@@ -35,6 +36,7 @@
     private final ToDoubleFunction<String> roundTripMillis;
     private final DoubleSupplier coldRate;
     private final Predicate<EndpointEntry> mayWarmUp;
+    private IntToDoubleFunction reservedFraction = rank -> 0;
 
     /** What happens to a request now. */
     public enum Verdict {
@@ -90,9 +92,19 @@
                 .orElse(0);
     }
 
+    /** Sets what requests leave to more urgent ones: the fraction of each endpoint's slots by rank. */
+    public void setReserve(IntToDoubleFunction fractionByRank) {
+        reservedFraction = fractionByRank;
+    }
+
+    private ProcessingTimes times(DispatchRequest request) {
+        return request.times() == null ? processingTimes : request.times();
+    }
+
     /** Decides about a request and takes the permit of the endpoint if it is sent. */
     public Decision decide(DispatchRequest request, long nowNanos) {
-        if (request.deadlineNanos() - nowNanos < processingTimes.expectedMillis(true) * NANOS_PER_MILLI) {
+        ProcessingTimes times = times(request);
+        if (request.deadlineNanos() - nowNanos < times.expectedMillis(true) * NANOS_PER_MILLI) {
             return refuse("the time left is shorter than the processing time");
         }
         if (!picker.hasUsableEndpoint(service, request::mayRunIn)) {
@@ -107,13 +119,16 @@
         if (acceptable && picker.tryTake(best.get(), requirements, nowNanos)) {
             return new Decision(Verdict.SEND, best, "");
         }
-        if (!acceptable) {
+        if (!acceptable && shares.maySpill()) {
             Optional<Choice> elsewhere = inOtherRegion(request, requirements, nowNanos);
             if (elsewhere.isPresent() && shares.trySpill() && picker.tryTake(elsewhere.get(), requirements, nowNanos)) {
                 return new Decision(Verdict.SEND, elsewhere, "");
             }
         }
-        if (request.waitedNanos(nowNanos) >= AdmissionLimits.maxWaitMillis(request) * NANOS_PER_MILLI) {
+        long maxWaitMillis = shares.isOverloaded()
+                ? AdmissionLimits.maxOverloadWaitMillis(request, times)
+                : AdmissionLimits.maxWaitMillis(request);
+        if (request.waitedNanos(nowNanos) >= maxWaitMillis * NANOS_PER_MILLI) {
             return refuse("no endpoint had capacity while the request was queued");
         }
         return new Decision(Verdict.WAIT, Optional.empty(), "no endpoint is expected to respond in time");
@@ -123,9 +138,13 @@
         return new Decision(Verdict.REFUSE, Optional.empty(), reason);
     }
 
-    /** Returns the wait in milliseconds after which the decision about a waiting request changes. */
+    /** Returns the waits in milliseconds after which the decision about a waiting request changes. */
     public static long[] decisionTimesMillis(DispatchRequest request) {
-        return new long[] {AdmissionLimits.targetWaitMillis(request), AdmissionLimits.maxWaitMillis(request)};
+        long target = AdmissionLimits.targetWaitMillis(request);
+        long max = AdmissionLimits.maxWaitMillis(request);
+        return request.times() == null
+                ? new long[] {target, max}
+                : new long[] {target, max, AdmissionLimits.maxOverloadWaitMillis(request, request.times())};
     }
 
     /**
@@ -135,9 +154,10 @@
     public double returnMillis(DispatchRequest request, double random, long nowNanos) {
         double untilRoom = choose(request, requirements(request), nowNanos)
                 .map(Choice::queueWaitMillis)
-                .orElse(processingTimes.expectedMillis(false));
+                .orElse(times(request).expectedMillis(false));
         double spread = 1 + RETURN_SPREAD * random;
-        return spread * Math.max(MIN_RETURN_MILLIS, Math.max(untilRoom, processingTimes.expectedMillis(true)));
+        return spread
+                * Math.max(MIN_RETURN_MILLIS, Math.max(untilRoom, times(request).expectedMillis(true)));
     }
 
     private Requirements requirements(DispatchRequest request) {
@@ -147,7 +167,8 @@
                 request.largeResponse(),
                 request.excluded(),
                 coldRate.getAsDouble(),
-                mayWarmUp);
+                mayWarmUp,
+                reservedFraction.applyAsDouble(request.priority()));
     }
 
     /**
@@ -155,13 +176,13 @@
      * within limits, if the request has been waiting.
      */
     private Optional<Choice> choose(DispatchRequest request, Requirements requirements, long nowNanos) {
-        Optional<Choice> planned = picker.pick(requirements, request.region(), processingTimes, nowNanos);
+        Optional<Choice> planned = picker.pick(requirements, request.region(), times(request), nowNanos);
         if (planned.isPresent()) {
             return planned;
         }
         for (String other : regions) {
             if (request.mayRunIn(other) && !other.equals(request.region())) {
-                Optional<Choice> choice = picker.pick(requirements, other, processingTimes, nowNanos);
+                Optional<Choice> choice = picker.pick(requirements, other, times(request), nowNanos);
                 if (choice.isPresent()) {
                     return choice;
                 }
@@ -178,7 +199,7 @@
             if (!request.mayRunIn(other) || other.equals(request.region())) {
                 continue;
             }
-            Optional<Choice> choice = picker.pick(requirements, other, processingTimes, nowNanos);
+            Optional<Choice> choice = picker.pick(requirements, other, times(request), nowNanos);
             if (choice.isPresent() && choice.get().slotFree()) {
                 double latency = expectedLatencyMillis(request, choice.get(), nowNanos);
                 if (latency < minLatency) {
@@ -194,7 +215,7 @@
     private boolean isExpectedInTime(DispatchRequest request, Choice choice, long nowNanos) {
         return choice.slotFree()
                 || expectedLatencyMillis(request, choice, nowNanos)
-                        <= AdmissionLimits.maxLatencyMillis(request, nowNanos);
+                        <= AdmissionLimits.maxLatencyMillis(request, times(request), shares.isOverloaded(), nowNanos);
     }
 
     private double expectedLatencyMillis(DispatchRequest request, Choice choice, long nowNanos) {
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServicePlan.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServicePlan.java
@@ -82,6 +82,20 @@
         return Math.min(1, cachedObjects / Math.max(1, recentObjects));
     }
 
+    /** Returns the name of the service. */
+    public String service() {
+        return service;
+    }
+
+    /** Returns the number of usable slots in all regions. */
+    public double totalSlots(long nowNanos) {
+        double total = 0;
+        for (double each : usableSlots(nowNanos).values()) {
+            total += each;
+        }
+        return total;
+    }
+
     private Map<String, Double> usableSlots(long nowNanos) {
         Map<String, Double> slots = new TreeMap<>();
         for (EndpointStatus endpoint : registry.usable(service)) {
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
 
 /**
@@ -14,11 +16,11 @@
  * cache it, until these are busy. Times are monotonic nanoseconds. Not thread-safe.
  */
 public final class EndpointPicker {
-    /**
-     * Fraction of the cold rate that one host uses. Hosts partitioned from each other may each believe that they are
-     * the one host that sends to the cold endpoint.
-     */
-    private static final double COLD_RATE_FRACTION = 0.5;
+    /** Positions of an object's order that a decision considers, so that it costs the same in services of any size. */
+    private static final int MAX_POSITIONS = 8;
+
+    /** Endpoints chosen at random that are considered too, so that an overloaded object can move on. */
+    private static final int RANDOM_CANDIDATES = 2;
 
     /** Queue wait that is accepted to keep a large response in the zone, where its bytes cost nothing. */
     private static final double LARGE_RESPONSE_CROSS_ZONE_MILLIS = 60;
@@ -38,22 +40,46 @@
     /** Cost of a failed attempt, as a multiple of the processing time of an object that is not cached. */
     private static final double FAILURE_COST_FACTOR = 2;
 
-    /** Bound on cached orders; there are a few dozen objects for each kind of request. */
+    /** Bound on cached orders of a service in a region; there are a few hundred objects for each kind of request. */
     private static final int MAX_CACHED_ORDERS = 4096;
 
+    private static final EndpointStatus[] NO_ENDPOINTS = {};
+    private static final RegionEndpoints EMPTY_REGION = new RegionEndpoints(NO_ENDPOINTS);
+
     private final EndpointRegistry registry;
     private final String ownZone;
-    private final Map<OrderKey, List<EndpointStatus>> orders = new HashMap<>();
-    private long ordersChangeCount;
+    private final SplittableRandom random;
+    private final Map<String, Map<String, RegionEndpoints>> endpoints = new HashMap<>();
+    private long endpointsChangeCount;
 
-    private record OrderKey(String service, String region, String object) {}
+    /** The candidate with the lowest cost of the decision in progress. */
+    private EndpointStatus best;
+
+    private double minCost;
+    private int bestPosition;
 
     private record RankedEndpoint(EndpointStatus status, double weight) {}
 
+    /** The usable endpoints of a service in a region, and the first ones of the orders of objects. */
+    private static final class RegionEndpoints {
+        private final EndpointStatus[] all;
+        private final Map<String, EndpointStatus[]> orders = new HashMap<>();
+
+        RegionEndpoints(EndpointStatus[] all) {
+            this.all = all;
+        }
+    }
+
     /** Creates a picker for a host in {@code ownZone}. */
     public EndpointPicker(EndpointRegistry registry, String ownZone) {
+        this(registry, ownZone, ownZone.hashCode());
+    }
+
+    /** Creates a picker for a host in {@code ownZone} that draws random candidates from {@code seed}. */
+    public EndpointPicker(EndpointRegistry registry, String ownZone, long seed) {
         this.registry = registry;
         this.ownZone = ownZone;
+        this.random = new SplittableRandom(seed);
     }
 
     /**
@@ -64,6 +90,7 @@
      * @param excluded ids of endpoints that have already had the request
      * @param coldRate requests per second that a cold endpoint of the service tolerates
      * @param mayWarmUp whether this host may send to a cold endpoint
+     * @param reservedFraction fraction of each endpoint's slots that the request leaves to more urgent ones
      */
     public record Requirements(
             String service,
@@ -71,7 +98,19 @@
             boolean largeResponse,
             Set<String> excluded,
             double coldRate,
-            Predicate<EndpointEntry> mayWarmUp) {}
+            Predicate<EndpointEntry> mayWarmUp,
+            double reservedFraction) {
+        /** Creates the requirements of a request that may use all slots. */
+        public Requirements(
+                String service,
+                String object,
+                boolean largeResponse,
+                Set<String> excluded,
+                double coldRate,
+                Predicate<EndpointEntry> mayWarmUp) {
+            this(service, object, largeResponse, excluded, coldRate, mayWarmUp, 0);
+        }
+    }
 
     /**
      * A chosen endpoint.
@@ -88,61 +127,158 @@
         }
     }
 
-    /** Returns the endpoint with the lowest expected cost in the region, or empty if none may be used now. */
+    /**
+     * Returns the endpoint with the lowest expected cost in the region, or empty if none may be used now. Considers the
+     * first positions of the object's order, a few endpoints at random and some that recently reported a free slot; all
+     * endpoints only if none of these may be used.
+     */
     public Optional<Choice> pick(Requirements requirements, String region, ProcessingTimes times, long nowNanos) {
-        Choice best = null;
-        double minCost = Double.POSITIVE_INFINITY;
-        int position = 0;
-        for (EndpointStatus status : order(requirements, region)) {
-            if (!mayUse(status, requirements, nowNanos)) {
-                continue;
+        RegionEndpoints candidates = endpoints(requirements.service(), region);
+        best = null;
+        minCost = Double.POSITIVE_INFINITY;
+        if (requirements.object().isEmpty()) {
+            considerAtRandom(candidates.all, MAX_POSITIONS + RANDOM_CANDIDATES, 0, requirements, times, nowNanos);
+        } else {
+            EndpointStatus[] order = order(candidates, requirements.object());
+            for (int position = 0; position < order.length; position++) {
+                consider(order[position], position, requirements, times, true, nowNanos);
             }
-            Choice choice = estimate(status, requirements, position, times, nowNanos);
-            double cost = choice.processingMillis()
-                    + choice.queueWaitMillis()
-                    + crossZoneMillis(status, requirements)
-                    + FAILURE_COST_FACTOR * status.failureFraction(nowNanos) * times.expectedMillis(false)
-                    + laterCostMillis(choice, position, times);
-            if (cost < minCost) {
-                minCost = cost;
-                best = choice;
+            if (candidates.all.length > order.length) {
+                considerAtRandom(candidates.all, RANDOM_CANDIDATES, MAX_POSITIONS, requirements, times, nowNanos);
             }
-            // Without an object no endpoint is preferred.
-            position += requirements.object().isEmpty() ? 0 : 1;
         }
-        return Optional.ofNullable(best);
+        if (candidates.all.length > MAX_POSITIONS) {
+            int position = requirements.object().isEmpty() ? 0 : MAX_POSITIONS;
+            for (EndpointStatus status :
+                    registry.group(requirements.service(), region).recentlyFree()) {
+                if (status != null && isIn(status, requirements.service(), region)) {
+                    consider(status, position, requirements, times, true, nowNanos);
+                }
+            }
+        }
+        if (best == null) {
+            for (EndpointStatus status : candidates.all) {
+                consider(status, MAX_POSITIONS, requirements, times, false, nowNanos);
+            }
+        }
+        return best == null
+                ? Optional.empty()
+                : Optional.of(estimate(best, requirements, bestPosition, times, nowNanos));
+    }
+
+    private void considerAtRandom(
+            EndpointStatus[] all,
+            int count,
+            int position,
+            Requirements requirements,
+            ProcessingTimes times,
+            long nowNanos) {
+        if (all.length == 0) {
+            return;
+        }
+        // Consecutive ones from a random start are as good as independent ones, since the list has no order by load.
+        int start = random.nextInt(all.length);
+        for (int i = 0; i < Math.min(count, all.length); i++) {
+            consider(all[(start + i) % all.length], position, requirements, times, true, nowNanos);
+        }
+    }
+
+    private void consider(
+            EndpointStatus status,
+            int position,
+            Requirements requirements,
+            ProcessingTimes times,
+            boolean paced,
+            long nowNanos) {
+        if (!mayUse(status, requirements, nowNanos)
+                || status.isReserved(requirements.reservedFraction(), nowNanos)
+                || (paced && !isInShare(status, requirements, nowNanos))) {
+            return;
+        }
+        boolean cached = isExpectedCached(status, requirements, position);
+        double cost = processingMillis(status, cached, times, nowNanos)
+                + queueWaitMillis(status, requirements, times, nowNanos)
+                + crossZoneMillis(status, requirements)
+                + FAILURE_COST_FACTOR * status.failureFraction(nowNanos) * times.expectedMillis(false)
+                + laterCostMillis(cached, position, times)
+                + loadCostMillis(status, requirements, times, nowNanos);
+        if (cost < minCost) {
+            minCost = cost;
+            best = status;
+            bestPosition = position;
+        }
+    }
+
+    private static boolean isIn(EndpointStatus status, String service, String region) {
+        return status.entry().service().equals(service)
+                && status.entry().region().equals(region);
     }
 
     /** Returns whether the service has an endpoint that gets requests in one of the regions, healthy or not. */
     public boolean hasUsableEndpoint(String service, Predicate<String> regions) {
-        return registry.usable(service).stream()
-                .anyMatch(status -> regions.test(status.entry().region()));
+        for (Map.Entry<String, RegionEndpoints> region : endpoints(service).entrySet()) {
+            if (region.getValue().all.length > 0 && regions.test(region.getKey())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Map<String, RegionEndpoints> endpoints(String service) {
+        if (endpointsChangeCount != registry.changeCount()) {
+            endpoints.clear();
+            endpointsChangeCount = registry.changeCount();
+        }
+        Map<String, RegionEndpoints> regions = endpoints.get(service);
+        if (regions == null) {
+            regions = computeEndpoints(service);
+            endpoints.put(service, regions);
+        }
+        return regions;
+    }
+
+    private RegionEndpoints endpoints(String service, String region) {
+        return endpoints(service).getOrDefault(region, EMPTY_REGION);
+    }
+
+    private Map<String, RegionEndpoints> computeEndpoints(String service) {
+        Map<String, List<EndpointStatus>> byRegion = new LinkedHashMap<>();
+        for (EndpointStatus status : registry.usable(service)) {
+            byRegion.computeIfAbsent(status.entry().region(), region -> new ArrayList<>())
+                    .add(status);
+        }
+        Map<String, RegionEndpoints> regions = new LinkedHashMap<>();
+        byRegion.forEach(
+                (region, statuses) -> regions.put(region, new RegionEndpoints(statuses.toArray(NO_ENDPOINTS))));
+        return regions;
     }
 
     /**
-     * Returns the order in which an object's endpoints in a region are preferred. All hosts derive the same order.
+     * Returns the first endpoints in the order in which an object's endpoints in a region are preferred. All hosts derive
+     * the same order.
      */
-    private List<EndpointStatus> order(Requirements requirements, String region) {
-        if (ordersChangeCount != registry.changeCount() || orders.size() >= MAX_CACHED_ORDERS) {
-            orders.clear();
-            ordersChangeCount = registry.changeCount();
+    private static EndpointStatus[] order(RegionEndpoints region, String object) {
+        EndpointStatus[] order = region.orders.get(object);
+        if (order == null && region.all.length > 0) {
+            if (region.orders.size() >= MAX_CACHED_ORDERS) {
+                region.orders.clear();
+            }
+            order = computeOrder(region.all, object);
+            region.orders.put(object, order);
         }
-        return orders.computeIfAbsent(
-                new OrderKey(requirements.service(), region, requirements.object()), this::computeOrder);
+        return order == null ? NO_ENDPOINTS : order;
     }
 
-    private List<EndpointStatus> computeOrder(OrderKey key) {
-        List<RankedEndpoint> ranked = new ArrayList<>();
-        for (EndpointStatus status : registry.usable(key.service())) {
-            if (status.entry().region().equals(key.region())) {
-                String id = status.entry().id();
-                ranked.add(new RankedEndpoint(status, Rendezvous.fraction(key.object(), id)));
-            }
+    private static EndpointStatus[] computeOrder(EndpointStatus[] all, String object) {
+        List<RankedEndpoint> ranked = new ArrayList<>(all.length);
+        for (EndpointStatus status : all) {
+            ranked.add(new RankedEndpoint(
+                    status, Rendezvous.fraction(object, status.entry().id())));
         }
         ranked.sort(Comparator.comparingDouble(RankedEndpoint::weight)
                 .reversed()
                 .thenComparing(each -> each.status().entry().id()));
-        return ranked.stream().map(RankedEndpoint::status).toList();
+        return ranked.stream().limit(MAX_POSITIONS).map(RankedEndpoint::status).toArray(EndpointStatus[]::new);
     }
 
     private boolean isInOwnZone(EndpointStatus status) {
@@ -158,40 +294,83 @@
         }
         return !status.isCold(nowNanos)
                 || (requirements.mayWarmUp().test(status.entry())
-                        && status.coldRequestAvailable(COLD_RATE_FRACTION * requirements.coldRate(), nowNanos));
+                        && status.pace().permitsCold(requirements.coldRate(), nowNanos));
+    }
+
+    /**
+     * Returns whether the request belongs to the share that an endpoint gets which has just become warm: the same objects
+     * at all hosts, so that few objects are loaded at first.
+     */
+    private boolean isInShare(EndpointStatus status, Requirements requirements, long nowNanos) {
+        double share = status.share(nowNanos);
+        if (share >= 1 || status.isCold(nowNanos)) {
+            return true;
+        }
+        return share
+                > (requirements.object().isEmpty()
+                        ? random.nextDouble()
+                        : Rendezvous.fraction(status.entry().id(), requirements.object()));
     }
 
     /** Takes a permit to send to the chosen endpoint; returns false if it is cold and its rate limit is reached. */
     public boolean tryTake(Choice choice, Requirements requirements, long nowNanos) {
         EndpointStatus status = choice.endpoint();
-        return !status.isCold(nowNanos)
-                || status.tryColdRequest(COLD_RATE_FRACTION * requirements.coldRate(), nowNanos);
+        return !status.isCold(nowNanos) || status.pace().tryTakeCold(requirements.coldRate(), nowNanos);
     }
 
     private static Choice estimate(
             EndpointStatus status, Requirements requirements, int position, ProcessingTimes times, long nowNanos) {
-        boolean expectedCached = status.probablyCaches(requirements.object())
-                || (position == 0 && !requirements.object().isEmpty());
-        double processing = times.expectedMillis(expectedCached) * status.slowness();
-        if (status.isCold(nowNanos)) {
-            processing *= 2;
-        }
+        boolean expectedCached = isExpectedCached(status, requirements, position);
+        return new Choice(
+                status,
+                expectedCached,
+                processingMillis(status, expectedCached, times, nowNanos),
+                queueWaitMillis(status, requirements, times, nowNanos));
+    }
+
+    private static boolean isExpectedCached(EndpointStatus status, Requirements requirements, int position) {
+        return !requirements.object().isEmpty() && (position == 0 || status.probablyCaches(requirements.object()));
+    }
+
+    private static double processingMillis(
+            EndpointStatus status, boolean cached, ProcessingTimes times, long nowNanos) {
+        double millis = times.expectedMillis(cached) * status.slowness(nowNanos) * status.speed(nowNanos);
+        return status.isCold(nowNanos) ? 2 * millis : millis;
+    }
+
+    private static double queueWaitMillis(
+            EndpointStatus status, Requirements requirements, ProcessingTimes times, long nowNanos) {
         int slots = status.entry().slots();
-        double ahead = Math.max(0, status.load(nowNanos) + 1 - slots);
-        double queueWait = ahead / slots * times.expectedMillis(true) * status.slowness();
-        return new Choice(status, expectedCached, processing, queueWait);
+        double load = requirements.object().isEmpty() ? status.loadOrMean(nowNanos) : status.load(nowNanos);
+        double ahead = Math.max(0, load + 1 - slots);
+        return ahead == 0
+                ? 0
+                : ahead / slots * times.queuedMillis() * status.slowness(nowNanos) * status.speed(nowNanos);
     }
 
     /**
      * Returns what the choice costs later requests: the endpoint is busy for longer now and evicts another object from
      * its cache.
      */
-    private static double laterCostMillis(Choice choice, int position, ProcessingTimes times) {
+    private static double laterCostMillis(boolean cached, int position, ProcessingTimes times) {
         double cachedMillis = times.expectedMillis(true);
-        double extraMillis = choice.expectedCached() ? 0 : times.expectedMillis(false) - cachedMillis;
+        double extraMillis = cached ? 0 : times.expectedMillis(false) - cachedMillis;
         return CACHE_MISS_COST_FRACTION * extraMillis + POSITION_COST_FRACTION * position * cachedMillis;
     }
 
+    /**
+     * Returns the cost of a slot that may not be free in fact. Only where no object prefers an endpoint: the least
+     * loaded one is preferred even if all seem to have free slots.
+     */
+    private static double loadCostMillis(
+            EndpointStatus status, Requirements requirements, ProcessingTimes times, long nowNanos) {
+        if (!requirements.object().isEmpty()) {
+            return 0;
+        }
+        double load = Math.min(1, status.loadOrMean(nowNanos) / status.entry().slots());
+        return load * load / status.entry().slots() * times.queuedMillis();
+    }
+
     private double crossZoneMillis(EndpointStatus status, Requirements requirements) {
         return requirements.largeResponse() && !isInOwnZone(status) ? LARGE_RESPONSE_CROSS_ZONE_MILLIS : 0;
     }
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointRegistry.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointRegistry.java
@@ -15,11 +15,16 @@
  * thread-safe.
  */
 public final class EndpointRegistry {
+    private static final GroupLoad NO_REPORTS = new GroupLoad();
+
     /** Bound on the remembered announcements: several times the endpoints of the largest deployment's services. */
     private static final int MAX_LEAVING = 8192;
 
     private final Map<String, EndpointStatus> endpoints = new LinkedHashMap<>();
     private final Map<String, Map<String, EndpointStatus>> byService = new HashMap<>();
+    private final Map<String, Map<String, GroupLoad>> groups = new HashMap<>();
+    private final Map<String, List<EndpointStatus>> usableByService = new HashMap<>();
+    private long usableChangeCount;
     private final EndpointHealth health = new EndpointHealth();
 
     /**
@@ -43,8 +48,10 @@
 
     /** Adds an endpoint or updates it to a newer entry. */
     public void put(EndpointEntry entry, long nowNanos) {
-        changeCount++;
         EndpointStatus status = endpoints.get(entry.id());
+        if (status == null || !isSamePlace(status.entry(), entry)) {
+            changeCount++;
+        }
         if (status == null) {
             status = new EndpointStatus(entry, nowNanos);
             endpoints.put(entry.id(), status);
@@ -59,6 +66,22 @@
         byService
                 .computeIfAbsent(entry.service(), service -> new LinkedHashMap<>())
                 .put(entry.id(), status);
+        status.setGroup(groups.computeIfAbsent(entry.service(), service -> new HashMap<>())
+                .computeIfAbsent(entry.region(), region -> new GroupLoad()));
+    }
+
+    /** Returns whether the order of endpoints and their usability are the same with both entries. */
+    private static boolean isSamePlace(EndpointEntry one, EndpointEntry other) {
+        return one.sameIncarnation(other)
+                && one.service().equals(other.service())
+                && one.zone().equals(other.zone())
+                && one.region().equals(other.region())
+                && one.draining() == other.draining();
+    }
+
+    /** Returns what the endpoints of a service in a region reported together. */
+    GroupLoad group(String service, String region) {
+        return groups.getOrDefault(service, Map.of()).getOrDefault(region, NO_REPORTS);
     }
 
     /** Removes an endpoint; does nothing if the id is unknown. */
@@ -144,14 +167,22 @@
                 && !isLeaving(entry);
     }
 
-    /** Returns the endpoints of a service for which {@link #isUsable} holds. */
+    /** Returns the endpoints of a service for which {@link #isUsable} holds. The list is unmodifiable. */
     public List<EndpointStatus> usable(String service) {
+        if (usableChangeCount != changeCount) {
+            usableByService.clear();
+            usableChangeCount = changeCount;
+        }
+        return usableByService.computeIfAbsent(service, this::computeUsable);
+    }
+
+    private List<EndpointStatus> computeUsable(String service) {
         List<EndpointStatus> usable = new ArrayList<>();
         for (EndpointStatus status : byService.getOrDefault(service, Map.of()).values()) {
             if (isUsable(status)) {
                 usable.add(status);
             }
         }
-        return usable;
+        return List.copyOf(usable);
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -1,5 +1,6 @@
 package io.carawaylift.decisions.fleet;
 
+import io.carawaylift.decisions.pace.EndpointPace;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -10,9 +11,21 @@
     /** Half-life of an observation of other hosts' load: a few times the duration of a request. */
     private static final double LOAD_HALF_LIFE_NANOS = 750e6;
 
-    /** Weight of the newest response in the moving average of relative latency. */
+    /** Half-life of the current processing time that the endpoint reported; it changes about every 600 ms. */
+    private static final double SPEED_HALF_LIFE_NANOS = 300e6;
+
+    /** Weight of the newest response in the moving average of relative processing times. */
     private static final double SLOWNESS_WEIGHT = 0.2;
 
+    /**
+     * Relative processing time as which a single slow response counts: a few percent of the requests take many times as
+     * long at any endpoint. A second one in succession counts in full.
+     */
+    private static final double MAX_SINGLE_SLOWNESS = 1.5;
+
+    /** Half-life of the slowness without responses, so that an endpoint that recovered is tried again. */
+    private static final double SLOWNESS_HALF_LIFE_NANOS = 10e9;
+
     /** Weight of the newest outcome in the fraction of requests that fail. */
     private static final double FAILURE_WEIGHT = 0.2;
 
@@ -20,10 +33,9 @@
     private static final double FAILURE_HALF_LIFE_NANOS = 2e9;
 
     /** Objects assumed to be cached by an endpoint; endpoints cache a few dozen. */
-    public static final int MAX_CACHED_OBJECTS = 24;
+    public static final int MAX_CACHED_OBJECTS = 30;
 
-    /** Requests that may be sent to a cold endpoint at once. */
-    private static final double COLD_BURST_REQUESTS = 1;
+    private static final double PERCENT = 100;
 
     private EndpointEntry entry;
     private int inFlight;
@@ -31,10 +43,18 @@
     private long loadReportedNanos;
     private long coldUntilNanos;
     private long silencedUntilNanos;
+    private double speed = 1;
+    private long speedReportedNanos;
+    private int lastWaiting;
+    private double lastRelativeTime = 1;
     private double slowness = 1;
+    private long slownessNanos;
+    private boolean wasCold;
     private double failureFraction;
     private long outcomeNanos;
-    private TokenBucket coldBucket;
+    private final EndpointPace pace;
+    private final double reserveRank;
+    private GroupLoad group = new GroupLoad();
     private final Map<String, Long> recentObjects = new LinkedHashMap<>(MAX_CACHED_OBJECTS, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -47,8 +67,12 @@
     EndpointStatus(EndpointEntry entry, long nowNanos) {
         this.entry = entry;
         this.loadReportedNanos = nowNanos;
+        this.speedReportedNanos = nowNanos;
+        this.slownessNanos = nowNanos;
+        this.outcomeNanos = nowNanos;
         this.silencedUntilNanos = nowNanos;
-        this.coldBucket = new TokenBucket(COLD_BURST_REQUESTS, nowNanos);
+        this.reserveRank = Rendezvous.fraction(entry.id(), "reserve");
+        this.pace = new EndpointPace(nowNanos);
         setCold(entry.remainingColdMillis(), nowNanos);
     }
 
@@ -68,11 +92,16 @@
         entry = newer;
         if (!same) {
             otherHostsLoad = 0;
+            loadReportedNanos = nowNanos;
+            speed = 1;
+            lastWaiting = 0;
             slowness = 1;
+            lastRelativeTime = 1;
             failureFraction = 0;
             silencedUntilNanos = nowNanos;
             recentObjects.clear();
-            coldBucket = new TokenBucket(COLD_BURST_REQUESTS, nowNanos);
+            pace.reset(nowNanos);
+            wasCold = false;
         }
         setCold(newer.remainingColdMillis(), nowNanos);
     }
@@ -81,6 +110,7 @@
     public void setCold(long millis, long nowNanos) {
         if (millis > 0) {
             coldUntilNanos = nowNanos + (long) (millis * NANOS_PER_MILLI);
+            wasCold = true;
         }
     }
 
@@ -101,13 +131,23 @@
         return silencedUntilNanos - nowNanos > 0;
     }
 
-    /** Takes a permit for one request to the endpoint while it is cold. */
-    public boolean tryColdRequest(double requestsPerSecond, long nowNanos) {
-        return coldBucket.tryTake(requestsPerSecond, nowNanos);
+    /** Sets what the endpoints of the same service and region reported together. */
+    void setGroup(GroupLoad load) {
+        group = load;
+    }
+
+    /** Returns the pace of a cold or recovering endpoint. */
+    public EndpointPace pace() {
+        return pace;
     }
 
-    boolean coldRequestAvailable(double requestsPerSecond, long nowNanos) {
-        return coldBucket.available(requestsPerSecond, nowNanos);
+    /** Returns the share of its usual requests that the endpoint gets now; below 1 after a cold period. */
+    double share(long nowNanos) {
+        if (wasCold && !isCold(nowNanos)) {
+            wasCold = false;
+            pace.startRamp(coldUntilNanos);
+        }
+        return pace.share(nowNanos);
     }
 
     /** Records that a request was sent. */
@@ -123,10 +163,33 @@
         inFlight--;
     }
 
-    /** Records the load that the endpoint reported with a response. */
+    /** Records the load that the endpoint reported with a response, without its processing time. */
     public void loadReported(int running, int waiting, long nowNanos) {
+        loadReported(running, waiting, 0, nowNanos);
+    }
+
+    /**
+     * Records the load that the endpoint reported with a response.
+     *
+     * @param processingPercent current processing time, 100 being the usual; 0 if not reported
+     */
+    public void loadReported(int running, int waiting, double processingPercent, long nowNanos) {
         otherHostsLoad = Math.max(0, running + waiting - inFlight);
         loadReportedNanos = nowNanos;
+        lastWaiting = waiting;
+        group.reported(this, running + waiting, nowNanos);
+        if (processingPercent > 0) {
+            speed = processingPercent / PERCENT;
+            speedReportedNanos = nowNanos;
+        }
+    }
+
+    /**
+     * Returns the current processing time as a multiple of the usual one, from the last report; approaches 1 with the age
+     * of the report.
+     */
+    public double speed(long nowNanos) {
+        return speed == 1 ? 1 : 1 + (speed - 1) * Decay.remaining(nowNanos - speedReportedNanos, SPEED_HALF_LIFE_NANOS);
     }
 
     /**
@@ -134,6 +197,9 @@
      * without a free slot is not recorded: its load, not its state, explains it.
      */
     public void outcome(boolean succeeded, long nowNanos) {
+        if (!succeeded) {
+            pace.refused();
+        }
         if (!succeeded && load(nowNanos) >= entry.slots()) {
             return;
         }
@@ -144,25 +210,64 @@
 
     /** Returns the moving average of the fraction of requests that failed or were rejected. */
     public double failureFraction(long nowNanos) {
-        double age = Math.max(0, nowNanos - outcomeNanos);
-        return failureFraction * Math.pow(0.5, age / FAILURE_HALF_LIFE_NANOS);
+        return failureFraction == 0
+                ? 0
+                : failureFraction * Decay.remaining(nowNanos - outcomeNanos, FAILURE_HALF_LIFE_NANOS);
     }
 
-    /** Records the actual and the expected latency of a response. */
-    public void responseReceived(double actualMillis, double expectedMillis) {
+    /**
+     * Records the processing time of a response and the expected one.
+     *
+     * @param actualMillis divided by {@link #speed} if the endpoint reported it
+     */
+    public void responseReceived(double actualMillis, double expectedMillis, long nowNanos) {
         double relative = Math.min(10, actualMillis / Math.max(1, expectedMillis));
-        slowness += SLOWNESS_WEIGHT * (relative - slowness);
+        double counted = Math.min(relative, Math.max(MAX_SINGLE_SLOWNESS, lastRelativeTime));
+        lastRelativeTime = relative;
+        slowness += SLOWNESS_WEIGHT * (counted - slowness);
+        slownessNanos = nowNanos;
+        pace.responded(relative, lastWaiting);
     }
 
-    /** Returns the moving average of actual over expected latency, at least 0.5; 1 is as expected. */
-    public double slowness() {
-        return Math.max(0.5, slowness);
+    /** Returns the moving average of actual over expected processing times, at least 0.5; 1 is as expected. */
+    public double slowness(long nowNanos) {
+        double learned = 1 + (slowness - 1) * Decay.remaining(nowNanos - slownessNanos, SLOWNESS_HALF_LIFE_NANOS);
+        return Math.max(0.5, learned);
     }
 
-    /** Returns the estimated number of requests of all hosts at the endpoint. */
+    /**
+     * Returns the estimated number of requests of all hosts at the endpoint. Without a recent report of its own, only this
+     * host's requests count, unless the endpoints of the service in the region are busy on average: then it is assumed
+     * to be busy too, so that those that reported a free slot are told from those that reported nothing.
+     */
     public double load(long nowNanos) {
-        double age = Math.max(0, nowNanos - loadReportedNanos);
-        return inFlight + otherHostsLoad * Math.pow(0.5, age / LOAD_HALF_LIFE_NANOS);
+        return group.perSlot(nowNanos) >= 1
+                ? loadOrMean(nowNanos)
+                : inFlight + otherHostsLoad * Decay.remaining(nowNanos - loadReportedNanos, LOAD_HALF_LIFE_NANOS);
+    }
+
+    /**
+     * Returns the estimated number of requests of all hosts at the endpoint; without a recent report the mean of the
+     * endpoints of the service in the region is assumed.
+     */
+    double loadOrMean(long nowNanos) {
+        double known = Decay.remaining(nowNanos - loadReportedNanos, LOAD_HALF_LIFE_NANOS);
+        double assumed = Math.max(0, group.perSlot(nowNanos) * entry.slots() - inFlight);
+        return inFlight + known * otherHostsLoad + (1 - known) * assumed;
+    }
+
+    /**
+     * Returns whether the free slots are kept for more urgent requests. A fraction of a slot is kept as a whole slot at
+     * this fraction of the endpoints, the same ones at all hosts: a chance per attempt would be passed by repeating it.
+     */
+    boolean isReserved(double fraction, long nowNanos) {
+        if (fraction <= 0) {
+            return false;
+        }
+        double slots = Math.min(fraction * entry.slots(), entry.slots() - 1.0);
+        double whole = Math.floor(slots);
+        double kept = whole + (reserveRank < slots - whole ? 1 : 0);
+        return kept > 0 && load(nowNanos) + 1 > entry.slots() - kept;
     }
 
     /** Returns whether this host recently sent a request for the object to the endpoint. */
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
@@ -16,6 +16,11 @@
     /** Requests by which a region may exceed its share; a few keep the shares of short windows steady. */
     private static final double MAX_DEBT_REQUESTS = 3;
 
+    /** Reaches a steady state within a few hundred requests. */
+    private static final double CORRECTION_STEP = 0.01;
+
+    private static final double MAX_CORRECTION = 1;
+
     /** Fraction of the requests that may run outside the region that was planned for them. */
     private static final double SPILL_FRACTION = 0.02;
 
@@ -33,6 +38,10 @@
     private double maxChangePerSecond;
     private final Map<String, Double> shares = new TreeMap<>();
     private final Map<String, Double> credits = new HashMap<>();
+
+    /** Corrections of the shares by which objects choose their region, as natural logarithms. */
+    private final Map<String, Double> corrections = new HashMap<>();
+
     private long updatedNanos;
     private double spillCredit;
     private double utilization;
@@ -103,7 +112,8 @@
                 maxCredit = credit;
                 creditor = region;
             }
-            double score = -Math.log(Rendezvous.fraction(object, region)) / share.getValue();
+            double weight = share.getValue() * Math.exp(corrections.getOrDefault(region, 0.0));
+            double score = -Math.log(Rendezvous.fraction(object, region)) / weight;
             if (score < minScore) {
                 minScore = score;
                 preferred = region;
@@ -112,24 +122,50 @@
         if (creditor.isEmpty()) {
             return "";
         }
+        if (!object.isEmpty()) {
+            correct(preferred, total);
+        }
         boolean withinDebt = !object.isEmpty() && credits.get(preferred) - total >= -MAX_DEBT_REQUESTS;
         String chosen = withinDebt ? preferred : creditor;
         credits.merge(chosen, -total, Double::sum);
         return chosen;
     }
 
+    /**
+     * Corrects the weights by which objects choose their region. A few objects with many requests make a region get more
+     * or less than its share; without the correction the excess would be dealt to all regions request by request, and
+     * each of them would have to cache the objects.
+     */
+    private void correct(String preferred, double total) {
+        shares.forEach((region, share) -> {
+            double chosen = region.equals(preferred) ? 1 : 0;
+            double changed = corrections.getOrDefault(region, 0.0) + CORRECTION_STEP * (share / total - chosen);
+            corrections.put(region, Math.max(-MAX_CORRECTION, Math.min(MAX_CORRECTION, changed)));
+        });
+    }
+
     /**
      * Returns whether one more request may run outside the region that was planned for it; takes the permit. A small
      * fraction of the requests may, so that the shares of short windows stay steady.
      */
     public boolean trySpill() {
-        if (spillCredit < 1 || utilization > MAX_SPILL_UTILIZATION) {
+        if (!maySpill()) {
             return false;
         }
         spillCredit--;
         return true;
     }
 
+    /** Returns whether {@link #trySpill} would permit a request. */
+    public boolean maySpill() {
+        return spillCredit >= 1 && utilization <= MAX_SPILL_UTILIZATION;
+    }
+
+    /** Returns whether the requests of all regions need more than the slots of all regions. */
+    public boolean isOverloaded() {
+        return utilization > 1;
+    }
+
     /** Returns the current share of a region. */
     public double share(String region) {
         return shares.getOrDefault(region, 0.0);
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/TokenBucket.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/pace/TokenBucket.java
@@ -1,25 +1,28 @@
-package io.carawaylift.decisions.fleet;
+package io.carawaylift.decisions.pace;
 
 /** Permits events at a steady rate with a bounded burst. Times are monotonic nanoseconds. Not thread-safe. */
-final class TokenBucket {
+public final class TokenBucket {
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final double burst;
     private double tokens;
     private long filledNanos;
 
-    TokenBucket(double burst, long nowNanos) {
+    /** Creates a full bucket. */
+    public TokenBucket(double burst, long nowNanos) {
         this.burst = burst;
         this.tokens = burst;
         this.filledNanos = nowNanos;
     }
 
-    boolean available(double ratePerSecond, long nowNanos) {
+    /** Returns whether an event is permitted now. */
+    public boolean available(double ratePerSecond, long nowNanos) {
         fill(ratePerSecond, nowNanos);
         return tokens >= 1;
     }
 
-    boolean tryTake(double ratePerSecond, long nowNanos) {
+    /** Takes a permit if there is one. */
+    public boolean tryTake(double ratePerSecond, long nowNanos) {
         if (!available(ratePerSecond, nowNanos)) {
             return false;
         }
--- a/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointPickerTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointPickerTest.java
@@ -184,4 +184,87 @@
         Choice choice = picker.pick(requirements, "region", times, 0).orElseThrow();
         assertThat(choice.endpoint().entry().id()).isEqualTo("near");
     }
+
+    /** Load of the desk booking service: reports hold 9 of 10 slots that floor maps need. */
+    @Test
+    void lessUrgentRequestsLeaveTheReservedSlots() {
+        addEndpoints(40);
+        Requirements reports = new Requirements("service", "", false, Set.of(), COLD_RATE, entry -> true, 0.125);
+        Requirements maps = requirements("", true);
+        int sent = 0;
+        for (int i = 0; i < 1000; i++) {
+            Optional<Choice> choice = picker.pick(reports, "region", times, 0);
+            if (choice.isPresent() && choice.get().slotFree()) {
+                choice.get().endpoint().requestSent("", 0);
+                sent++;
+            }
+        }
+        // An eighth of four slots is a whole slot at half of the 40 endpoints.
+        assertThat(sent).isAtMost(160 - 10);
+        assertThat(sent).isAtLeast(160 - 32);
+        int urgent = 0;
+        for (int i = 0; i < 1000; i++) {
+            Choice choice = picker.pick(maps, "region", times, 0).orElseThrow();
+            if (choice.slotFree()) {
+                choice.endpoint().requestSent("", 0);
+                urgent++;
+            }
+        }
+        assertThat(urgent).isAtLeast(10);
+    }
+
+    /** A seventh of the endpoints is 2.5 times slower at any moment: those that say so get few requests. */
+    @Test
+    void endpointsThatReportALongerProcessingTimeAreAvoidedForAMoment() {
+        addEndpoints(7);
+        EndpointStatus slow = registry.find("endpoint-3").orElseThrow();
+        slow.loadReported(0, 0, 250, SECOND);
+        for (int i = 0; i < 100; i++) {
+            assertThat(pick(requirements("", true), SECOND).orElseThrow()).isNotEqualTo("endpoint-3");
+        }
+        // A cached object is still faster there than at an endpoint that has to load it.
+        Set<String> atSlow = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            if (pick(requirements("object-" + i, true), SECOND).orElseThrow().equals("endpoint-3")) {
+                atSlow.add("object-" + i);
+            }
+        }
+        assertThat(atSlow).isNotEmpty();
+        slow.loadReported(0, 0, 600, SECOND);
+        for (String object : atSlow) {
+            assertThat(pick(requirements(object, true), SECOND).orElseThrow()).isNotEqualTo("endpoint-3");
+        }
+    }
+
+    /** Guards against the requests of many hosts at the first endpoint of an order that they share. */
+    @Test
+    void requestsWithoutAnObjectSpreadOverTheEndpoints() {
+        addEndpoints(60);
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 6000; i++) {
+            counts.merge(pick(requirements("", true), 0).orElseThrow(), 1, Integer::sum);
+        }
+
+        assertThat(counts).hasSize(60);
+        counts.values().forEach(count -> assertThat(count).isAtMost(400));
+    }
+
+    /** Guards against all objects at an endpoint at the end of its cold period. */
+    @Test
+    void anEndpointThatHasJustBecomeWarmGetsAShareOfItsObjects() {
+        addEndpoints(8);
+        registry.put(endpoint("endpoint-new", "zone-a", false, 1000), 0);
+        int[] atNew = new int[3];
+        long[] times = {SECOND + 10_000_000, SECOND + 300_000_000, 3 * SECOND};
+        for (int step = 0; step < times.length; step++) {
+            for (int i = 0; i < 900; i++) {
+                String chosen =
+                        pick(requirements("object-" + i, false), times[step]).orElseThrow();
+                atNew[step] += chosen.equals("endpoint-new") ? 1 : 0;
+            }
+        }
+        assertThat(atNew[0]).isIn(com.google.common.collect.Range.closed(5, 50));
+        assertThat(atNew[1]).isAtLeast(atNew[0] + 10);
+        assertThat(atNew[2]).isAtLeast(atNew[1] + 20);
+    }
 }
--- a/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointRegistryTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointRegistryTest.java
@@ -33,7 +33,10 @@
     void aNewIncarnationStartsColdAndWithoutStatistics() {
         registry.put(entry(1, "service", false, 0), 0);
         EndpointStatus status = registry.find("e").orElseThrow();
-        status.responseReceived(5000, 100);
+        for (int i = 0; i < 5; i++) {
+            status.responseReceived(5000, 100, 0);
+        }
+        assertThat(status.slowness(0)).isGreaterThan(5.0);
         status.requestSent("object", 0);
         status.requestEnded();
         status.loadReported(9, 9, 0);
@@ -41,7 +44,7 @@
         registry.put(entry(2, "service", false, 3000), SECOND);
 
         assertThat(status.isCold(SECOND)).isTrue();
-        assertThat(status.slowness()).isEqualTo(1);
+        assertThat(status.slowness(SECOND)).isEqualTo(1);
         assertThat(status.probablyCaches("object")).isFalse();
         assertThat(status.load(SECOND)).isEqualTo(0);
     }
@@ -120,4 +123,54 @@
         registry.put(entry(2, "service", false, 0), 4 * SECOND);
         assertThat(status.isSilenced(5 * SECOND)).isFalse();
     }
+
+    /** Guards against a queue at an endpoint that seems to be idle because this host heard nothing of it. */
+    @Test
+    void withoutAReportTheMeanOfTheOtherEndpointsIsAssumed() {
+        registry.put(entry(1, "service", false, 0), 0);
+        registry.put(new EndpointEntry("silent", 1, "service", "10.0.0.1", 80, "zone", "region", 4, false, 0), 0);
+        for (int i = 0; i < 60; i++) {
+            registry.find("e").orElseThrow().loadReported(4, 4, 9 * SECOND);
+        }
+
+        EndpointStatus silent = registry.find("silent").orElseThrow();
+        assertThat(silent.loadOrMean(9 * SECOND)).isWithin(0.2).of(8);
+        assertThat(silent.loadOrMean(20 * SECOND)).isLessThan(0.1);
+        // The mean is above the slots until it decays, so the silent endpoint counts as busy for objects too.
+        assertThat(silent.load(9 * SECOND)).isWithin(0.2).of(8);
+        for (int i = 0; i < 60; i++) {
+            registry.find("e").orElseThrow().loadReported(2, 0, 30 * SECOND);
+        }
+        assertThat(silent.load(30 * SECOND)).isEqualTo(0);
+    }
+
+    /** Three percent of the requests take seven times as long at any endpoint: they must not mark it as slow. */
+    @Test
+    void singleSlowResponsesDoNotMarkAnEndpointAsSlowAndSuccessiveOnesDo() {
+        registry.put(entry(1, "service", false, 0), 0);
+        EndpointStatus status = registry.find("e").orElseThrow();
+        double slowest = 0;
+        for (int i = 0; i < 1000; i++) {
+            status.responseReceived(i % 33 == 0 ? 700 : 100, 100, 0);
+            slowest = Math.max(slowest, status.slowness(0));
+        }
+        assertThat(slowest).isLessThan(1.2);
+
+        for (int i = 0; i < 4; i++) {
+            status.responseReceived(500, 100, 0);
+        }
+        assertThat(status.slowness(0)).isGreaterThan(2.0);
+    }
+
+    /** Guards against a reported speed that counts longer than it lasts, which is about 600 ms. */
+    @Test
+    void theReportedSpeedDecaysWithinASecond() {
+        registry.put(entry(1, "service", false, 0), 0);
+        EndpointStatus status = registry.find("e").orElseThrow();
+        status.loadReported(1, 0, 250, SECOND);
+
+        assertThat(status.speed(SECOND)).isEqualTo(2.5);
+        assertThat(status.speed(SECOND + 300_000_000)).isEqualTo(1.75);
+        assertThat(status.speed(2 * SECOND)).isLessThan(1.2);
+    }
 }
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -1,6 +1,7 @@
 package io.carawaylift.host;
 
 import io.carawaylift.decisions.dispatch.DispatchRequest;
+import io.carawaylift.decisions.dispatch.RouteLoad;
 import io.carawaylift.decisions.dispatch.ServiceDispatcher;
 import io.carawaylift.decisions.dispatch.ServiceDispatcher.Decision;
 import io.carawaylift.decisions.fleet.EndpointEntry;
@@ -73,6 +74,7 @@
     private long configurationVersion;
     private String service = "";
     private ServiceTraffic traffic;
+    private RouteLoad routeLoad;
     private long deadlineNanos;
     private HostLoop.Timer timer;
     private boolean finished;
@@ -119,11 +121,16 @@
         }
         service = forwarder.chooseService(route);
         traffic = forwarder.traffic(service, route);
-        traffic.arrived(object, arrivedNanos);
+        routeLoad = traffic.route(route, arrivedNanos);
+        routeLoad.arrived(arrivedNanos);
+        // Where no endpoint is faster for an object that it handled, none is preferred.
+        String preference = route.sessionAffinity() ? object : "";
+        traffic.arrived(preference, arrivedNanos);
         long allowedMillis = Math.min(callerRemainingMillis(), route.timeoutMillis());
         deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis);
         dispatch = DispatchRequest.builder()
-                .object(object)
+                .object(preference)
+                .times(routeLoad.times())
                 .priority(route.priority())
                 .arrivedNanos(arrivedNanos)
                 .targetMillis(route.targetLatencyMillis())
@@ -204,7 +211,7 @@
                 endpoint.entry().slots(),
                 choice.queueWaitMillis(),
                 choice.processingMillis());
-        endpoint.requestSent(object, now);
+        endpoint.requestSent(dispatch.object(), now);
         forwarder.registry().health().tried(endpointId, now);
         inFlightEndpoint = endpoint;
         forwarder.pool().acquire(endpoint, (connection, reason) -> {
@@ -309,7 +316,8 @@
         long now = System.nanoTime();
         HttpHeaders headers = response.headers();
         LoadHeader.parse(headers.get(RequestHeaders.LOAD))
-                .ifPresent(load -> endpoint.loadReported(load.running(), load.waiting(), now));
+                .ifPresent(
+                        load -> endpoint.loadReported(load.running(), load.waiting(), load.processingPercent(), now));
         if (headers.contains(RequestHeaders.NOT_RUN) || response.status() == MISDIRECTED_STATUS) {
             response.discard();
             runs--;
@@ -338,7 +346,9 @@
                 return;
             }
         } else {
-            forwarder.registry().health().succeeded(endpointId, now);
+            if (forwarder.registry().health().succeeded(endpointId, now)) {
+                endpoint.pace().startRamp(now);
+            }
             endpoint.outcome(true, now);
             recordProcessingTime(choice, (now - sentNanos) / NANOS_PER_MILLI);
         }
@@ -351,9 +361,12 @@
         }
         String region = choice.endpoint().entry().region();
         double processingMillis = Math.max(1, millis - forwarder.roundTripMillis(region));
-        choice.endpoint()
-                .responseReceived(processingMillis, traffic.processingTimes().expectedMillis(choice.expectedCached()));
-        traffic.processingTimes().add(choice.expectedCached(), processingMillis);
+        EndpointStatus endpoint = choice.endpoint();
+        long now = System.nanoTime();
+        double speed = endpoint.speed(now);
+        endpoint.responseReceived(
+                processingMillis / speed, routeLoad.times().expectedMillis(choice.expectedCached()), now);
+        traffic.recordProcessingTime(routeLoad, choice.expectedCached(), processingMillis, speed);
     }
 
     /** Sends the request to another endpoint, since the chosen one pushed back before the request was written. */
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -88,7 +88,8 @@
                 this::closeIdleConnections,
                 this::sendQueuedRequests,
                 membership::broadcast);
-        this.picker = new EndpointPicker(registry, options.host().failureDomain());
+        this.picker = new EndpointPicker(
+                registry, options.host().failureDomain(), options.host().id().hashCode());
         this.regions = new LinkedHashSet<>(options.regionsByZone().values());
     }
 
@@ -253,7 +254,7 @@
     /** Returns the busy slots by service, for the report to other hosts. */
     Map<String, Double> busySlots() {
         Map<String, Double> busy = new HashMap<>();
-        traffic.forEach((service, each) -> busy.put(service, each.busySlots()));
+        traffic.forEach((service, each) -> each.reportBusySlots(service, busy));
         return busy;
     }
 
@@ -267,6 +268,7 @@
             Map<String, Double> demand = new TreeMap<>();
             busy.forEach((region, slots) -> demand.put(region, slots.getOrDefault(service, 0.0)));
             each.updatePlan(demand, now);
+            each.updateReserve(busy, now);
             each.sendQueued();
         });
     }
--- a/loadmodel/src/main/java/io/carawaylift/loadmodel/ModelHost.java
+++ b/loadmodel/src/main/java/io/carawaylift/loadmodel/ModelHost.java
@@ -214,7 +214,9 @@
         String id = status.entry().id();
         switch (outcome) {
             case ANSWERED -> {
-                registry.health().succeeded(id, now);
+                if (registry.health().succeeded(id, now)) {
+                    status.pace().startRamp(now);
+                }
                 status.outcome(true, now);
                 recordProcessingTime(pending, choice, (now - sentNanos) / NANOS_PER_MILLI);
                 end(pending, LoadResult.End.IN_TIME, 0);
@@ -249,7 +251,11 @@
                                 * run.fleet()
                                         .delayMillis(
                                                 zone, choice.endpoint().entry().zone()));
-        choice.endpoint().responseReceived(processing, times.expectedMillis(choice.expectedCached()));
+        choice.endpoint()
+                .responseReceived(
+                        processing,
+                        times.expectedMillis(choice.expectedCached()),
+                        run.events().nowNanos());
         times.add(choice.expectedCached(), processing);
     }
 
