--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -91,7 +91,8 @@
                 this::sendQueuedRequests,
                 membership::broadcast);
         this.access = access;
-        this.picker = new EndpointPicker(registry, options.host().failureDomain());
+        this.picker = new EndpointPicker(
+                registry, options.host().failureDomain(), options.host().id().hashCode());
         this.regions = new LinkedHashSet<>(options.regionsByZone().values());
     }
 
@@ -261,7 +262,7 @@
     /** Returns the busy slots by service, for the report to other hosts. */
     Map<String, Double> busySlots() {
         Map<String, Double> busy = new HashMap<>();
-        traffic.forEach((service, each) -> busy.put(service, each.busySlots()));
+        traffic.forEach((service, each) -> each.reportBusySlots(service, busy));
         return busy;
     }
 
@@ -275,6 +276,7 @@
             Map<String, Double> demand = new TreeMap<>();
             busy.forEach((region, slots) -> demand.put(region, slots.getOrDefault(service, 0.0)));
             each.updatePlan(demand, now);
+            each.updateReserve(busy, now);
             each.sendQueued();
         });
     }
