--- a/host/src/main/java/io/carawaylift/host/CallSequence.java
+++ b/host/src/main/java/io/carawaylift/host/CallSequence.java
@@ -1,7 +1,9 @@
 package io.carawaylift.host;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BiConsumer;
 
 /**
@@ -16,6 +18,8 @@
     private final StoreRetries retries;
     private final Runnable next;
     private HostLoop.Timer pause = () -> {};
+    private HostLoop.Timer timeout = () -> {};
+    private CompletableFuture<?> response = CompletableFuture.completedFuture(null);
     private long callNumber;
     private boolean inFlight;
     private long sentNanos;
@@ -31,8 +35,7 @@
     /** Gives up the call in flight or ends the pause, and goes on with the next call. */
     void resume() {
         pause.cancel();
-        inFlight = false;
-        callNumber++;
+        abandon();
         if (!stopped) {
             guard(next);
         }
@@ -44,15 +47,33 @@
         resume();
     }
 
-    /** Handles the response to a call that was sent just now, unless the call is given up before. */
-    <T> void await(CompletableFuture<T> response, BiConsumer<T, Throwable> handler) {
+    /** Gives up the call in flight; its connection ends, since it may never carry a response again. */
+    private void abandon() {
+        timeout.cancel();
+        inFlight = false;
+        callNumber++;
+        response.cancel(false);
+    }
+
+    /**
+     * Handles the response to a call that was sent just now, unless the call is given up before.
+     *
+     * @param maxWait time after which the call fails with a {@link TimeoutException}
+     */
+    <T> void await(CompletableFuture<T> newResponse, Duration maxWait, BiConsumer<T, Throwable> handler) {
         long number = ++callNumber;
+        response = newResponse;
         inFlight = true;
         sentNanos = System.nanoTime();
-        loop.handle(response, (value, failure) -> {
+        timeout = loop.after(
+                maxWait.toMillis(),
+                () -> newResponse.completeExceptionally(
+                        new TimeoutException("no response of the store within " + maxWait.toMillis() + " ms")));
+        loop.handle(newResponse, (value, failure) -> {
             if (number != callNumber) {
                 return;
             }
+            timeout.cancel();
             inFlight = false;
             guard(() -> handler.accept(value, failure));
         });
--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -336,7 +336,7 @@
         }
     }
 
-    private final class HostEntryListener implements KindWatcher.Listener {
+    private final class HostEntryListener implements KindListener {
         @Override
         public void changed(StoreItem item) {
             JsonNode address = item.value().path("address");
@@ -357,7 +357,7 @@
         }
 
         @Override
-        public void deleted(String name, long graceMillis) {
+        public void deleted(String name, long graceMillis, long knownRevision) {
             listedHosts.remove(name);
             closeOutgoingLink(name);
             updateRelayOrders();
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -1,11 +1,11 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.currency.CurrencyTimes;
 import io.carawaylift.decisions.fleet.EndpointRegistry;
 import io.carawaylift.decisions.route.CallerLimits;
 import io.carawaylift.decisions.route.RouteTable;
 import io.carawaylift.peer.Message;
 import io.carawaylift.platform.store.ObjectStoreClient;
-import io.carawaylift.platform.store.StoreKinds;
 import io.carawaylift.runtime.Service;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -64,7 +64,7 @@
         this.loop = new HostLoop(group.next(), log);
         this.store = new ObjectStoreClient(new StoreConnections(loop, options.store(), metrics), STORE_CALL_TIMEOUT);
         StoreRetries retries = new StoreRetries(loop);
-        this.relay = new StoreRelay(StoreKinds.ENDPOINTS);
+        this.relay = new StoreRelay(CurrencyTimes.of(options.bounds().stabilityWindow()));
         this.storeView = new StoreView(registry, store, retries, relay, loop, log, options.regionsByZone());
         this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report);
         BufferBudget buffers = new BufferBudget(options.buffers().maxTotalBytes());
@@ -91,6 +91,8 @@
     private void addGauges(KindWatcher watcher) {
         metrics.gauge("carawaylift.store.age.seconds", watcher::ageSeconds, "kind", watcher.kind());
         metrics.gauge("carawaylift.store.call.age.seconds", watcher::callAgeSeconds, "kind", watcher.kind());
+        metrics.gauge("carawaylift.store.current", () -> watcher.isCurrent() ? 1 : 0, "kind", watcher.kind());
+        metrics.gauge("carawaylift.store.responses.lost", watcher::lostResponses, "kind", watcher.kind());
     }
 
     @Override
@@ -103,6 +105,7 @@
         loop.runAndWait(() -> {
             storeView.start();
             membership.start();
+            relay.start(loop);
             loop.every(PLAN_INTERVAL_MILLIS, forwarder::updatePlan);
             loop.every(SWEEP_INTERVAL_MILLIS, this::sweep);
             loop.every(SETTINGS_CHECK_INTERVAL_MILLIS, this::reloadIfChanged);
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -1,26 +1,18 @@
 package io.carawaylift.host;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import io.carawaylift.decisions.replica.ObjectTable;
-import io.carawaylift.model.RecordBytes;
+import io.carawaylift.decisions.currency.CallChain;
+import io.carawaylift.decisions.currency.Confirmation;
+import io.carawaylift.decisions.currency.CurrencyTimes;
 import io.carawaylift.peer.Message.ObjectChange;
+import io.carawaylift.peer.Message.ObjectChanges;
 import io.carawaylift.peer.Message.ObjectPosition;
 import io.carawaylift.platform.store.ObjectStoreClient;
+import io.carawaylift.platform.store.ObjectStoreClient.ListMode;
 import io.carawaylift.platform.store.StoreChanges;
-import io.carawaylift.platform.store.StoreException;
 import io.carawaylift.platform.store.StoreItem;
-import io.carawaylift.platform.store.StoreKinds;
-import io.carawaylift.platform.store.StorePage;
-import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.CompletionException;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -29,39 +21,8 @@
  * same objects, changes come from that host and no call is made to the store. Used on the event loop only.
  */
 final class KindWatcher {
-    /**
-     * Timeout of a watch. A change whose response is lost is known after this time and that of a call, well within six
-     * seconds. A watch may also soon be unnecessary, because another host confirms.
-     */
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(3);
-
-    /**
-     * The same for the other hosts, once they found each other. Long, because each watch costs a call, and hosts that
-     * are not listed yet report to those that are.
-     */
-    private static final Duration HOSTS_WATCH_TIMEOUT = Duration.ofSeconds(20);
-
-    /** Timeout of a watch that only brings what a list lacked, or shows whether the store responds again. */
-    private static final Duration IMMEDIATE_WATCH_TIMEOUT = Duration.ofMillis(1);
-
-    /** Timeout of a watch whose responses show this host and others that the store is reachable. */
-    private static final Duration CONFIRMING_WATCH_TIMEOUT = Duration.ofSeconds(1);
-
-    /** Delay before the next watch after a change, so that changes close together cost one call. */
-    private static final long COALESCE_MILLIS = 300;
-
-    /** The same for the other hosts, all of which register when a fleet starts; nothing waits for their entries. */
-    private static final long COALESCE_HOSTS_MILLIS = 1500;
-
-    /**
-     * Age after which a confirmation expires and the host watches the store itself: one confirming watch plus some
-     * delay. A change is thus known well within the shortest time that the platform allows after accepting it, about
-     * two seconds.
-     */
-    private static final long CONFIRMATION_LIFETIME_NANOS = 1_500_000_000L;
-
-    /** Time after the start in which the hosts of a region find each other. */
-    private static final long DISCOVERY_NANOS = 8_000_000_000L;
+    /** Response allowance of the first lists, which are long and are decoded by code that has just started. */
+    private static final Duration FIRST_LIST_ALLOWANCE = Duration.ofMillis(1500);
 
     /** Delay beyond the timeout of a watch after which its response no longer shows the current state of the store. */
     private static final long MAX_RESPONSE_DELAY_NANOS = 600_000_000L;
@@ -69,50 +30,27 @@
     /** Time after the store is reachable again in which live writers renew entries that expired meanwhile. */
     private static final long ENTRY_RENEWAL_MILLIS = 2000;
 
-    private static final double NANOS_PER_SECOND = 1e9;
-
-    /** Stands for an unknown revision of a page; lower than any revision. */
-    private static final long NO_REVISION = 0;
-
-    private static final RecordBytes NO_VALUE = RecordBytes.of("");
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     private final String kind;
     private final ObjectStoreClient store;
-    private final HostLoop loop;
     private final EventLog log;
-    private final Listener listener;
+    private final KindListener listener;
     private final StoreRetries retries;
     private final StoreRelay relay;
-    private final ObjectStoreClient.ListMode firstList;
+    private final ListMode firstList;
     private final CallSequence calls;
-    private final ObjectTable<StoreItem> table = new ObjectTable<>();
-    private long startedNanos;
+    private final CurrencyTimes times;
+    private final CallChain chain;
+    private final Confirmation confirmation;
+    private final KindObjects objects;
+    private final KindWaits waits;
+    private final KindAvailability availability;
+    private final KindLister lister;
     private long revision;
-    private long confirmedNanos;
-    private boolean everConfirmed;
     private boolean fullyLoaded;
-    private boolean storeAvailable = true;
     private boolean followsHost;
-    private boolean renewed;
-    private long currentNanos;
-
-    /** Receives the objects of the kind on the event loop. */
-    interface Listener {
-        /** Called when an object is new or has a newer value. */
-        void changed(StoreItem item);
-
-        /**
-         * Called when an object was deleted or expired.
-         *
-         * @param graceMillis time in which it may still be renewed, because it may have expired while the store was
-         * unreachable
-         */
-        void deleted(String name, long graceMillis);
-
-        /** Called when all objects of the kind are known; may be called more than once. */
-        void synchronizedWithStore();
-    }
+    private boolean listNeeded = true;
+    private boolean replaced;
+    private long catchUpRevision;
 
     /**
      * Creates a watcher.
@@ -122,22 +60,28 @@
      */
     KindWatcher(
             String kind,
-            ObjectStoreClient.ListMode firstList,
+            ListMode firstList,
             ObjectStoreClient store,
             StoreRetries retries,
             StoreRelay relay,
             HostLoop loop,
             EventLog log,
-            Listener listener) {
+            KindListener listener) {
         this.kind = kind;
         this.firstList = firstList;
         this.store = store;
         this.retries = retries;
         this.relay = relay;
-        this.loop = loop;
         this.log = log;
         this.listener = listener;
+        this.times = relay.times();
+        this.chain = new CallChain(times.responseAllowance());
+        this.confirmation = new Confirmation(times.confirmationLifetime());
+        this.objects = new KindObjects(kind, loop, log, listener);
         this.calls = new CallSequence(loop, retries, this::nextCall);
+        this.waits = new KindWaits(kind, relay);
+        this.availability = new KindAvailability(kind, log);
+        this.lister = new KindLister(kind, store, calls, chain, new ListListener());
         retries.onRecovery(this::renewCall);
         relay.add(this);
     }
@@ -147,9 +91,7 @@
     }
 
     void start() {
-        startedNanos = System.nanoTime();
-        currentNanos = startedNanos;
-        list(firstList, "", Long.MAX_VALUE, new ArrayList<>());
+        list(firstList);
     }
 
     /** Ends the calls for the kind; changes from other hosts are still applied. */
@@ -164,17 +106,44 @@
 
     /** Returns whether the last call to the store succeeded. */
     boolean isAvailable() {
-        return storeAvailable;
+        return availability.isAvailable();
     }
 
-    /** Returns whether the store has confirmed all objects since it was last unreachable. */
+    /** Returns whether all calls for the kind were answered in time, so that other hosts may rely on its objects. */
     boolean isCurrent() {
-        return fullyLoaded && storeAvailable && !renewed;
+        return fullyLoaded && chain.isCurrent(System.nanoTime());
+    }
+
+    /** Returns the calls for the kind. */
+    CallChain chain() {
+        return chain;
+    }
+
+    /** Returns the number of calls whose responses did not arrive in time. */
+    long lostResponses() {
+        return availability.lostResponses();
+    }
+
+    /** Returns the revision of the store up to which all changes are known. */
+    long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns the milliseconds since the time that the last answered call of this host proves: the objects were those
+     * of the store when that call was sent, and for an empty response to a watch also at the end of its wait. Empty if
+     * no call was answered.
+     */
+    OptionalLong provenAgeMillis() {
+        OptionalLong proven = chain.provenNanos();
+        return proven.isPresent()
+                ? OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - proven.getAsLong()))
+                : proven;
     }
 
     /** Returns the time in seconds since the store, or a host that follows it, last confirmed the known objects. */
     double ageSeconds() {
-        return (System.nanoTime() - currentNanos) / NANOS_PER_SECOND;
+        return availability.ageSeconds();
     }
 
     /** Returns the time in seconds since the call in flight was sent, 0 if there is none. */
@@ -182,92 +151,70 @@
         return calls.callAgeSeconds();
     }
 
-    private static long millisSince(long nanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
-    }
-
     /** Returns the known revision and a digest of the objects, for comparison with another host. */
     ObjectPosition position() {
-        return new ObjectPosition(kind, revision, table.digest());
+        return new ObjectPosition(kind, revision, objects.digest());
     }
 
     /** Returns all known objects. */
     List<ObjectChange> objects() {
-        List<ObjectChange> objects = new ArrayList<>();
-        table.all().forEach(version -> objects.add(toChange(version.value())));
-        return objects;
+        return objects.all();
     }
 
-    private void list() {
-        list(ObjectStoreClient.ListMode.LATEST, "", Long.MAX_VALUE, new ArrayList<>());
+    private void list(ListMode mode) {
+        lister.list(mode, fullyLoaded ? times.responseAllowance() : FIRST_LIST_ALLOWANCE);
     }
 
-    private void list(ObjectStoreClient.ListMode mode, String after, long earlierRevision, List<StoreItem> items) {
-        calls.await(store.list(kind, after, mode), (page, failure) -> {
-            if (failure != null) {
-                failed(failure);
-                relay.requestObjects(kind);
-                return;
-            }
+    /** Applies what the lister reads. */
+    private final class ListListener implements KindLister.Listener {
+        @Override
+        public void listed(ListMode mode, List<StoreItem> items, long listRevision, long sentNanos) {
+            applyList(mode, items, listRevision, sentNanos);
+        }
+
+        @Override
+        public void pageRead() {
             succeeded();
-            // The watch starts at the revision of the oldest page, so that changes made between two pages are not
-            // missed.
-            long from = Math.min(earlierRevision, revisionOf(page, mode));
-            items.addAll(page.items());
-            if (from == NO_REVISION) {
-                list();
-            } else if (page.hasNextPage() && !page.items().isEmpty()) {
-                list(mode, items.get(items.size() - 1).name(), from, items);
-            } else {
-                applyList(mode, items, from);
-            }
-        });
-    }
+        }
 
-    /**
-     * Returns a revision that a page is not older than. A page that may be old states the current revision of the
-     * store, so only its objects show how old it may be.
-     */
-    private static long revisionOf(StorePage page, ObjectStoreClient.ListMode mode) {
-        if (mode == ObjectStoreClient.ListMode.LATEST) {
-            return page.revision();
+        @Override
+        public void failed(Throwable failure) {
+            KindWatcher.this.failed(failure);
+            relay.requestObjects(kind);
         }
-        return page.items().stream().mapToLong(StoreItem::revision).max().orElse(NO_REVISION);
     }
 
-    private void applyList(ObjectStoreClient.ListMode mode, List<StoreItem> items, long from) {
-        List<ObjectChange> changes = new ArrayList<>();
-        Set<String> names = new HashSet<>();
-        for (StoreItem item : items) {
-            names.add(item.name());
-            put(item, changes);
-        }
-        long graceMillis = graceMillis();
-        for (ObjectTable.Version<StoreItem> missing : table.without(names)) {
-            // Keeps objects that another host saw created after this list was made.
-            if (missing.revision() <= from) {
-                delete(missing.name(), missing.revision(), graceMillis, changes);
-            }
-        }
-        revision = Math.max(revision, from);
-        relay.forwardChanges(kind, changes);
-        if (mode == ObjectStoreClient.ListMode.MAY_BE_OLD && !fullyLoaded) {
+    private void applyList(ListMode mode, List<StoreItem> items, long from, long sentNanos) {
+        List<ObjectChange> changes = objects.applyList(items, from, graceMillis());
+        relay.forwardChanges(kind, from, changes);
+        advance(from);
+        if (mode == ListMode.MAY_BE_OLD && !fullyLoaded) {
             // What left since then must not be used; the watch tells.
             watch();
             return;
         }
+        listNeeded = false;
+        chain.answered(System.nanoTime(), sentNanos, Duration.ZERO);
         loaded("store", items.size());
+        relay.responded(System.nanoTime());
         relay.sendPositions();
         continueFollowing();
     }
 
-    private void loaded(String source, int objects) {
+    private void advance(long knownRevision) {
+        if (knownRevision > revision) {
+            revision = knownRevision;
+            listener.caughtUp(revision);
+        }
+    }
+
+    private void loaded(String source, int count) {
         if (!fullyLoaded) {
             log.event(
                     "store.listed",
                     line -> line.put("kind", kind)
                             .put("source", source)
-                            .put("objects", objects)
+                            .put("objects", count)
                             .put("revision", revision));
         }
         fullyLoaded = true;
@@ -275,10 +222,10 @@
     }
 
     private void nextCall() {
-        if (fullyLoaded) {
+        if (fullyLoaded && !listNeeded) {
             continueFollowing();
         } else {
-            list();
+            list(ListMode.LATEST);
         }
     }
 
@@ -286,14 +233,30 @@
     private void renewCall(long reachableNanos) {
         if (calls.isWaitingSince(reachableNanos)) {
             log.event("store.call_renewed", line -> line.put("kind", kind).put("callAgeMs", calls.millisSinceSent()));
-            renewed = true;
-            calls.resume();
+            replaceCall();
+        }
+    }
+
+    private void replaceCall() {
+        chain.unanswered();
+        replaced = true;
+        calls.resume();
+    }
+
+    /**
+     * Reads at once what is not known yet up to a revision, because another kind must not be acted on before. Does
+     * nothing if another host follows the store for this one, since that host does it.
+     */
+    void catchUp(long knownRevision) {
+        catchUpRevision = Math.max(catchUpRevision, knownRevision);
+        if (fullyLoaded && availability.isAvailable() && !followsHost && !listNeeded && revision < knownRevision) {
+            replaceCall();
         }
     }
 
     private void continueFollowing() {
-        long remainingNanos = CONFIRMATION_LIFETIME_NANOS - (System.nanoTime() - confirmedNanos);
-        boolean confirmed = everConfirmed && remainingNanos > 0 && !relay.isRelay();
+        long remainingNanos = confirmation.remainingNanos(System.nanoTime());
+        boolean confirmed = remainingNanos > 0 && !relay.isRelay();
         setFollowsHost(confirmed);
         if (confirmed) {
             calls.pause(TimeUnit.NANOSECONDS.toMillis(remainingNanos) + 1);
@@ -314,80 +277,53 @@
     }
 
     private void watch() {
-        Duration wait = watchTimeout();
         long sentNanos = System.nanoTime();
-        calls.await(store.watch(kind, revision, wait), (changes, failure) -> {
+        Duration wait = watchWait(sentNanos);
+        long knownAfter = catchUpRevision;
+        chain.sent(sentNanos, wait);
+        calls.await(store.watch(kind, revision, wait), wait.plus(times.responseAllowance()), (changes, failure) -> {
             if (failure == null) {
-                long graceMillis = storeAvailable && !renewed ? 0 : graceMillis();
-                succeeded();
-                applyWatchResult(changes, graceMillis);
-                if (!fullyLoaded) {
-                    loaded("store", table.all().size());
-                }
-                continueAfter(changes);
-                if (System.nanoTime() - sentNanos < wait.toNanos() + MAX_RESPONSE_DELAY_NANOS) {
-                    relay.sendPositions();
-                }
-            } else if (cause(failure) instanceof StoreException refused && refused.historyExpired()) {
+                watchAnswered(changes, sentNanos, wait, knownAfter);
+            } else if (KindAvailability.isHistoryExpired(failure)) {
                 log.event("store.history_gone", line -> line.put("kind", kind).put("revision", revision));
-                list();
+                chain.unanswered();
+                listNeeded = true;
+                list(ListMode.LATEST);
             } else {
                 failed(failure);
             }
         });
     }
 
-    private Duration watchTimeout() {
-        if (!fullyLoaded || !storeAvailable) {
-            return IMMEDIATE_WATCH_TIMEOUT;
+    private void watchAnswered(StoreChanges changes, long sentNanos, Duration wait, long knownAfter) {
+        long graceMillis = availability.isAvailable() && !replaced && !availability.isReadAgain() ? 0 : graceMillis();
+        succeeded();
+        List<ObjectChange> applied = objects.applyWatch(changes, graceMillis);
+        relay.forwardChanges(kind, changes.revision(), applied);
+        // The store had reached the revision to catch up with before this watch was sent.
+        advance(Math.max(knownAfter, changes.revision()));
+        long now = System.nanoTime();
+        boolean empty = changes.changes().isEmpty();
+        Duration pause = empty ? Duration.ZERO : waits.afterChange();
+        chain.answered(now, empty ? sentNanos + wait.toNanos() : sentNanos, pause);
+        if (!fullyLoaded) {
+            loaded("store", objects.size());
         }
-        if (relay.isConfirmingKind(kind)) {
-            return CONFIRMING_WATCH_TIMEOUT;
+        listNeeded = false;
+        if (now - sentNanos < wait.toNanos() + MAX_RESPONSE_DELAY_NANOS) {
+            relay.responded(now);
         }
-        boolean starting = System.nanoTime() - startedNanos < DISCOVERY_NANOS;
-        boolean ofKnownHosts = kind.equals(StoreKinds.HOSTS) && !starting && !relay.isFollower();
-        return ofKnownHosts ? HOSTS_WATCH_TIMEOUT : WATCH_TIMEOUT;
-    }
-
-    private void applyWatchResult(StoreChanges changes, long graceMillis) {
-        List<ObjectChange> appliedChanges = new ArrayList<>();
-        for (StoreChanges.ChangedItem change : changes.changes()) {
-            if (change.deleted()) {
-                delete(change.item().name(), change.item().revision(), graceMillis, appliedChanges);
-            } else {
-                put(change.item(), appliedChanges);
-            }
-        }
-        revision = Math.max(revision, changes.revision());
-        relay.forwardChanges(kind, appliedChanges);
-    }
-
-    private void continueAfter(StoreChanges changes) {
-        if (changes.changes().isEmpty()) {
+        relay.sendPositions();
+        if (empty) {
             continueFollowing();
         } else {
-            boolean ofHosts = kind.equals(StoreKinds.HOSTS);
-            calls.pause(ofHosts ? COALESCE_HOSTS_MILLIS : COALESCE_MILLIS);
+            calls.pause(pause.toMillis());
         }
     }
 
-    private void put(StoreItem item, List<ObjectChange> appliedChanges) {
-        if (table.put(item.name(), item.revision(), item)) {
-            appliedChanges.add(toChange(item));
-            try {
-                listener.changed(item);
-            } catch (RuntimeException e) {
-                // One object that its reader cannot take must not end the reading of the others.
-                loop.logFault(e);
-            }
-        }
-    }
-
-    private void delete(String name, long deletedRevision, long graceMillis, List<ObjectChange> appliedChanges) {
-        if (table.delete(name, deletedRevision)) {
-            appliedChanges.add(new ObjectChange(name, deletedRevision, true, graceMillis, NO_VALUE));
-            listener.deleted(name, graceMillis);
-        }
+    private Duration watchWait(long now) {
+        boolean atOnce = !fullyLoaded || !availability.isAvailable() || availability.isReadAgain() || replaced;
+        return atOnce ? KindWaits.IMMEDIATE_WATCH : waits.watch(chain, now);
     }
 
     private long graceMillis() {
@@ -395,95 +331,54 @@
     }
 
     /** Applies changes that another host received from the store. */
-    void applyChanges(List<ObjectChange> changes) {
-        for (ObjectChange change : changes) {
-            if (change.deleted()) {
-                delete(change.name(), change.revision(), change.graceMillis(), new ArrayList<>());
-            } else {
-                toItem(change).ifPresent(item -> put(item, new ArrayList<>()));
-            }
-        }
+    void applyChanges(ObjectChanges changes) {
+        objects.applyForwarded(changes);
     }
 
     /**
      * Compares with the position of another host, after its changes were applied. Does nothing if the digests differ.
      *
-     * @param current whether the store has just confirmed the position to that host
+     * @param current whether that host holds the kind current
+     * @param age time since the store last responded to that host
      */
-    void applyPosition(ObjectPosition position, boolean current) {
-        if (position.digest() != table.digest()) {
+    void applyPosition(ObjectPosition position, boolean current, Duration age) {
+        if (position.digest() != objects.digest()) {
             return;
         }
         if (!fullyLoaded) {
-            revision = Math.max(revision, position.revision());
-            if (!current && storeAvailable) {
+            if (!current && availability.isAvailable()) {
                 // What left since that host knew must not be used; the list that is under way tells.
+                revision = Math.max(revision, position.revision());
                 return;
             }
-            loaded("host", table.all().size());
+            advance(position.revision());
+            listNeeded = false;
+            loaded("host", objects.size());
         }
-        if (!current) {
+        if (!current || age.compareTo(times.confirmationLifetime()) >= 0) {
             return;
         }
-        revision = Math.max(revision, position.revision());
-        confirmedNanos = System.nanoTime();
-        everConfirmed = true;
+        advance(position.revision());
+        listNeeded = false;
+        confirmation.received(System.nanoTime(), age);
         succeeded();
     }
 
-    private static ObjectChange toChange(StoreItem item) {
-        try {
-            RecordBytes value = RecordBytes.copyOf(MAPPER.writeValueAsBytes(item.value()));
-            return new ObjectChange(item.name(), item.revision(), false, 0, value);
-        } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("cannot encode " + item.name(), e);
-        }
-    }
-
-    private Optional<StoreItem> toItem(ObjectChange change) {
-        try {
-            JsonNode value = MAPPER.readTree(change.value().toArray());
-            return Optional.of(new StoreItem(change.name(), change.revision(), value));
-        } catch (IOException e) {
-            log.event(
-                    "store.change_ignored",
-                    line -> line.put("kind", kind)
-                            .put("name", change.name())
-                            .put("reason", String.valueOf(e.getMessage())));
-            return Optional.empty();
-        }
-    }
-
     private void succeeded() {
         retries.succeeded();
-        renewed = false;
-        long ageMillis = millisSince(currentNanos);
-        currentNanos = System.nanoTime();
-        if (!storeAvailable) {
-            storeAvailable = true;
-            log.event(
-                    "dependency.regained",
-                    line -> line.put("dependency", "store").put("kind", kind).put("ageMs", ageMillis));
-        }
+        replaced = false;
+        availability.succeeded();
     }
 
     private void failed(Throwable failure) {
-        if (!(cause(failure) instanceof StoreException)) {
+        chain.unanswered();
+        if (!KindAvailability.isRefusal(failure)) {
             retries.unanswered();
         }
-        calls.retry();
-        if (storeAvailable) {
-            storeAvailable = false;
-            log.event(
-                    "dependency.lost",
-                    line -> line.put("dependency", "store")
-                            .put("kind", kind)
-                            .put("callAgeMs", calls.millisSinceSent())
-                            .put("reason", String.valueOf(cause(failure).getMessage())));
+        if (availability.failed(failure, calls.millisSinceSent())) {
+            calls.resume();
+        } else {
+            calls.retry();
         }
     }
-
-    private static Throwable cause(Throwable failure) {
-        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
-    }
 }
--- a/host/src/main/java/io/carawaylift/host/StoreConnections.java
+++ b/host/src/main/java/io/carawaylift/host/StoreConnections.java
@@ -50,7 +50,9 @@
             send(connection, request(method, target, body), timeout, result);
         } else {
             OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, limits, (opened, reason) -> {
-                if (opened == null) {
+                if (result.isDone() && opened != null) {
+                    release(opened);
+                } else if (opened == null) {
                     result.completeExceptionally(new IOException("no connection to the store: " + reason));
                 } else {
                     send(opened, request(method, target, body), timeout, result);
@@ -60,11 +62,19 @@
         return result;
     }
 
+    @SuppressWarnings("FutureReturnValueIgnored") // the caller gets the future that the action depends on
     private void send(
             OutboundConnection connection,
             FullHttpRequest request,
             Duration timeout,
             CompletableFuture<Response> result) {
+        result.whenComplete((response, failure) -> {
+            if (result.isCancelled()) {
+                connection.close();
+                // Connections that were idle meanwhile may be silent for the same reason.
+                closeIdle();
+            }
+        });
         HostLoop.Timer timer = loop.after(timeout.toMillis(), () -> {
             connection.close();
             result.completeExceptionally(
@@ -109,6 +119,11 @@
         });
     }
 
+    private void closeIdle() {
+        idle.forEach(OutboundConnection::close);
+        idle.clear();
+    }
+
     private OutboundConnection takeIdle() {
         while (!idle.isEmpty()) {
             OutboundConnection connection = idle.pollLast();
--- a/host/src/main/java/io/carawaylift/host/StoreRelay.java
+++ b/host/src/main/java/io/carawaylift/host/StoreRelay.java
@@ -1,14 +1,19 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.currency.CallChain;
+import io.carawaylift.decisions.currency.CurrencyTimes;
+import io.carawaylift.decisions.currency.WatchSpacing;
 import io.carawaylift.peer.Connection;
 import io.carawaylift.peer.Message;
 import io.carawaylift.peer.Message.ObjectChange;
 import io.carawaylift.peer.Message.ObjectPosition;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Passes changes that one host of a region receives from the store on to the other hosts of the region, so that calls
@@ -19,15 +24,25 @@
     /** Max objects per message. With values of some kilobytes, a message stays well below the max frame size. */
     private static final int OBJECTS_PER_MESSAGE = 200;
 
+    /** Divides the interval of the positions, which are sent less than one of these after they are due. */
+    private static final long POSITION_CHECK_MILLIS = 50;
+
     private final Map<String, KindWatcher> watchers = new LinkedHashMap<>();
-    private final String confirmingKind;
+    private final CurrencyTimes times;
+    private final WatchSpacing spacing;
     private Region region = new NoOtherHosts();
+    private boolean everResponded;
+    private long respondedNanos;
+    private long positionsSentNanos = System.nanoTime();
 
-    /**
-     * Creates a relay. The watches of {@code confirmingKind} are frequent enough to show that the store is reachable.
-     */
-    StoreRelay(String confirmingKind) {
-        this.confirmingKind = confirmingKind;
+    StoreRelay(CurrencyTimes times) {
+        this.times = times;
+        this.spacing = new WatchSpacing(times);
+    }
+
+    /** Starts to send the positions of the current kinds periodically, without calls to the store. */
+    void start(HostLoop loop) {
+        loop.every(POSITION_CHECK_MILLIS, this::sendPositionsIfDue);
     }
 
     /** The other hosts of the region. */
@@ -67,9 +82,28 @@
         return region.hasOtherHosts() && !region.isRelay();
     }
 
-    /** Returns whether watches of the kind must return often, to show that the store is reachable. */
-    boolean isConfirmingKind(String kind) {
-        return kind.equals(confirmingKind);
+    /** Returns whether the region has other hosts. */
+    boolean hasOtherHosts() {
+        return region.hasOtherHosts();
+    }
+
+    CurrencyTimes times() {
+        return times;
+    }
+
+    /** Returns the wait of a watch that the relay sends now, so that responses for different kinds are spread. */
+    Duration watchWait(CallChain chain, long now) {
+        List<CallChain> others = watchers.values().stream()
+                .map(KindWatcher::chain)
+                .filter(other -> other != chain)
+                .toList();
+        return spacing.waitOf(now, others);
+    }
+
+    /** Records that the store responded in time to a call for any kind. */
+    void responded(long now) {
+        everResponded = true;
+        respondedNanos = now;
     }
 
     /** Returns whether the last call for each kind succeeded. */
@@ -78,16 +112,30 @@
     }
 
     /** Forwards changes that this host received from the store, if it is the relay. */
-    void forwardChanges(String kind, List<ObjectChange> changes) {
+    void forwardChanges(String kind, long revision, List<ObjectChange> changes) {
         if (changes.isEmpty() || !region.isRelay()) {
             return;
         }
-        inMessages(kind, changes).forEach(region::send);
+        inMessages(kind, revision, changes).forEach(region::send);
+    }
+
+    private void sendPositionsIfDue() {
+        if (System.nanoTime() - positionsSentNanos >= times.positionInterval().toNanos()) {
+            sendPositions();
+        }
     }
 
-    /** Sends the positions of all kinds to the other hosts, after the store has responded. */
+    /**
+     * Sends the positions of the kinds that this host holds current to the other hosts, if it is the relay and the
+     * store responded to it recently. A kind of which a call is unanswered is left out, whatever others were answered.
+     */
     void sendPositions() {
-        if (!region.isRelay() || !region.hasOtherHosts()) {
+        long now = System.nanoTime();
+        positionsSentNanos = now;
+        long ageNanos = now - respondedNanos;
+        boolean expired =
+                !everResponded || ageNanos >= times.confirmationLifetime().toNanos();
+        if (expired || !region.isRelay() || !region.hasOtherHosts()) {
             return;
         }
         List<ObjectPosition> positions = new ArrayList<>();
@@ -96,7 +144,7 @@
                 positions.add(watcher.position());
             }
         }
-        region.send(new Message.ObjectPositions(true, positions));
+        region.send(new Message.ObjectPositions(true, TimeUnit.NANOSECONDS.toMillis(ageNanos), positions));
     }
 
     /** Requests all objects of a kind from another host, because the store does not respond. */
@@ -118,29 +166,30 @@
         if (message instanceof Message.ObjectChanges changes) {
             KindWatcher watcher = watchers.get(changes.kind());
             if (watcher != null) {
-                watcher.applyChanges(changes.changes());
+                watcher.applyChanges(changes);
             }
         } else if (message instanceof Message.ObjectPositions positions) {
             for (ObjectPosition position : positions.positions()) {
                 KindWatcher watcher = watchers.get(position.kind());
                 if (watcher != null) {
-                    watcher.applyPosition(position, positions.current());
+                    watcher.applyPosition(position, positions.current(), Duration.ofMillis(positions.ageMillis()));
                 }
             }
         } else if (message instanceof Message.ObjectsRequest request) {
             KindWatcher watcher = watchers.get(request.kind());
             if (watcher != null && watcher.isFullyLoaded()) {
-                inMessages(request.kind(), watcher.objects()).forEach(connection::send);
-                connection.send(new Message.ObjectPositions(false, List.of(watcher.position())));
+                inMessages(request.kind(), watcher.revision(), watcher.objects())
+                        .forEach(connection::send);
+                connection.send(new Message.ObjectPositions(false, 0, List.of(watcher.position())));
             }
         }
     }
 
-    private static List<Message> inMessages(String kind, List<ObjectChange> changes) {
+    private static List<Message> inMessages(String kind, long revision, List<ObjectChange> changes) {
         List<Message> messages = new ArrayList<>();
         for (int from = 0; from < changes.size(); from += OBJECTS_PER_MESSAGE) {
             int to = Math.min(changes.size(), from + OBJECTS_PER_MESSAGE);
-            messages.add(new Message.ObjectChanges(kind, changes.subList(from, to)));
+            messages.add(new Message.ObjectChanges(kind, revision, changes.subList(from, to)));
         }
         return messages;
     }
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -1,5 +1,6 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.currency.HeldRemovals;
 import io.carawaylift.decisions.fleet.EndpointEntry;
 import io.carawaylift.decisions.fleet.EndpointRegistry;
 import io.carawaylift.decisions.fleet.EndpointStatus;
@@ -29,6 +30,8 @@
     private final EventLog log;
     private final EndpointDecoder endpointDecoder;
     private final List<KindWatcher> watchers;
+    private final KindWatcher endpoints;
+    private final HeldRemovals heldEvacuations = new HeldRemovals();
     private final Map<String, HostLoop.Timer> removals = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
     private final Set<String> ignoredEntries = new HashSet<>();
@@ -50,6 +53,8 @@
         this.loop = loop;
         this.log = log;
         this.endpointDecoder = new EndpointDecoder(regionsByZone);
+        this.endpoints = new KindWatcher(
+                StoreKinds.ENDPOINTS, ListMode.MAY_BE_OLD, store, retries, relay, loop, log, new EndpointListener());
         this.watchers = List.of(
                 new KindWatcher(
                         StoreKinds.CONFIGURATIONS,
@@ -60,15 +65,7 @@
                         loop,
                         log,
                         new ConfigurationListener()),
-                new KindWatcher(
-                        StoreKinds.ENDPOINTS,
-                        ListMode.MAY_BE_OLD,
-                        store,
-                        retries,
-                        relay,
-                        loop,
-                        log,
-                        new EndpointListener()),
+                endpoints,
                 new KindWatcher(
                         StoreKinds.EVACUATED_ZONES,
                         ListMode.LATEST,
@@ -113,7 +110,7 @@
         return table != null && endpointsKnown && evacuationsKnown;
     }
 
-    private final class ConfigurationListener implements KindWatcher.Listener {
+    private final class ConfigurationListener implements KindListener {
         @Override
         public void changed(StoreItem item) {
             if (!item.name().equals(StoreKinds.CONFIGURATION_NAME)) {
@@ -144,7 +141,7 @@
         }
 
         @Override
-        public void deleted(String name, long graceMillis) {
+        public void deleted(String name, long graceMillis, long knownRevision) {
             log.event("configuration.deleted", line -> line.put("name", name));
         }
 
@@ -152,7 +149,7 @@
         public void synchronizedWithStore() {}
     }
 
-    private final class EndpointListener implements KindWatcher.Listener {
+    private final class EndpointListener implements KindListener {
         @Override
         public void changed(StoreItem item) {
             Optional<EndpointEntry> decoded = endpointDecoder.decode(item);
@@ -188,7 +185,7 @@
         }
 
         @Override
-        public void deleted(String name, long graceMillis) {
+        public void deleted(String name, long graceMillis, long knownRevision) {
             ignoredEntries.remove(name);
             if (graceMillis > 0) {
                 removals.put(name, loop.after(graceMillis, () -> remove(name, "not back after the store returned")));
@@ -203,6 +200,11 @@
             onChange.run();
         }
 
+        @Override
+        public void caughtUp(long revision) {
+            heldEvacuations.release(revision).forEach(StoreView.this::endEvacuation);
+        }
+
         private void remove(String name, String reason) {
             cancelRemoval(name);
             Optional<EndpointStatus> status = registry.find(name);
@@ -223,19 +225,29 @@
         }
     }
 
-    private final class EvacuationListener implements KindWatcher.Listener {
+    private final class EvacuationListener implements KindListener {
         @Override
         public void changed(StoreItem item) {
+            heldEvacuations.cancel(item.name());
             if (evacuated.add(item.name())) {
-                update(item.name(), true);
+                updateEvacuation(item.name(), true);
             }
         }
 
         @Override
-        public void deleted(String name, long graceMillis) {
-            if (evacuated.remove(name)) {
-                update(name, false);
+        public void deleted(String name, long graceMillis, long knownRevision) {
+            if (endpoints.revision() >= knownRevision) {
+                endEvacuation(name);
+                return;
             }
+            // Endpoints of the zone may have become cold before the evacuation was removed.
+            log.event(
+                    "zone.evacuation_held",
+                    line -> line.put("zone", name)
+                            .put("removedAt", knownRevision)
+                            .put("endpointsAt", endpoints.revision()));
+            heldEvacuations.hold(name, knownRevision);
+            endpoints.catchUp(knownRevision);
         }
 
         @Override
@@ -243,16 +255,22 @@
             evacuationsKnown = true;
             onChange.run();
         }
+    }
 
-        private void update(String zone, boolean isEvacuated) {
-            registry.setEvacuatedZones(evacuated);
-            log.event("zone.evacuation", line -> line.put("zone", zone).put("evacuated", isEvacuated));
-            if (isEvacuated) {
-                registry.all().stream()
-                        .filter(endpoint -> endpoint.entry().zone().equals(zone))
-                        .forEach(onUnusable);
-            }
-            onChange.run();
+    private void endEvacuation(String zone) {
+        if (evacuated.remove(zone)) {
+            updateEvacuation(zone, false);
+        }
+    }
+
+    private void updateEvacuation(String zone, boolean isEvacuated) {
+        registry.setEvacuatedZones(evacuated);
+        log.event("zone.evacuation", line -> line.put("zone", zone).put("evacuated", isEvacuated));
+        if (isEvacuated) {
+            registry.all().stream()
+                    .filter(endpoint -> endpoint.entry().zone().equals(zone))
+                    .forEach(onUnusable);
         }
+        onChange.run();
     }
 }
--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -54,7 +54,7 @@
         this.ownsStore = ownsStore;
         this.id = id;
         this.gracePeriodSeconds = gracePeriodSeconds;
-        Files.writeString(settingsPath, settings(id, peerPort, store.address(), gracePeriodSeconds, 0.2));
+        Files.writeString(settingsPath, settings(id, peerPort, store.address(id), gracePeriodSeconds, 0.2));
         Settings settings = Settings.read(settingsPath);
         EventLog log = new EventLog(id, logOutput);
         host = new HostService(
@@ -89,7 +89,7 @@
 
     /** Rewrites the settings file while the host runs. */
     void changeRetryRatio(double ratio) throws IOException {
-        Files.writeString(settingsPath, settings(id, peerPort, store.address(), gracePeriodSeconds, ratio));
+        Files.writeString(settingsPath, settings(id, peerPort, store.address(id), gracePeriodSeconds, ratio));
     }
 
     /**
@@ -178,6 +178,11 @@
                 .orElseThrow(() -> new AssertionError("no value of " + series));
     }
 
+    /** Cuts this host off from the store without a reset of its connections. */
+    void cutOffFromStore() {
+        store.cutOff(id);
+    }
+
     HostService host() {
         return host;
     }
--- a/host/src/test/java/io/carawaylift/host/KindWatcherTest.java
+++ b/host/src/test/java/io/carawaylift/host/KindWatcherTest.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.carawaylift.decisions.currency.CurrencyTimes;
 import io.carawaylift.model.RecordBytes;
+import io.carawaylift.peer.Message;
 import io.carawaylift.platform.store.ObjectStoreClient;
 import io.carawaylift.platform.store.ObjectStoreClient.ListMode;
 import io.carawaylift.platform.store.StoreItem;
@@ -29,7 +31,7 @@
     private final EventLog log = new EventLog("host-1", OutputStream.nullOutputStream());
     private final HostLoop loop = new HostLoop(eventLoop, log);
     private final StoreRetries retries = new StoreRetries(loop);
-    private final StoreRelay relay = new StoreRelay("servers");
+    private final StoreRelay relay = new StoreRelay(CurrencyTimes.of(Duration.ofSeconds(4)));
     private final List<Call> calls = new CopyOnWriteArrayList<>();
     private final ObjectStoreClient store = new ObjectStoreClient(this::send, Duration.ofSeconds(1));
     private final List<String> changed = new ArrayList<>();
@@ -53,14 +55,14 @@
     }
 
     private KindWatcher watcher(String kind) {
-        KindWatcher.Listener listener = new KindWatcher.Listener() {
+        KindListener listener = new KindListener() {
             @Override
             public void changed(StoreItem item) {
                 onChange.accept(item);
             }
 
             @Override
-            public void deleted(String name, long graceMillis) {}
+            public void deleted(String name, long graceMillis, long knownRevision) {}
 
             @Override
             public void synchronizedWithStore() {}
@@ -164,4 +166,80 @@
 
         awaitCall("config", 3);
     }
+
+    /** Another host of the region, to which this one is the relay. */
+    private static final class OneFollower implements StoreRelay.Region {
+        private final List<Message> sent = new CopyOnWriteArrayList<>();
+
+        @Override
+        public boolean isRelay() {
+            return true;
+        }
+
+        @Override
+        public boolean hasOtherHosts() {
+            return true;
+        }
+
+        @Override
+        public void send(Message message) {
+            sent.add(message);
+        }
+
+        @Override
+        public void sendToAny(Message message) {}
+
+        private List<String> lastPositions() {
+            Message last = sent.get(sent.size() - 1);
+            return ((Message.ObjectPositions) last)
+                    .positions().stream().map(Message.ObjectPosition::kind).toList();
+        }
+    }
+
+    /**
+     * Guards against a relay that tells the others of its region for seconds that the configuration is current, because
+     * calls for endpoints are answered, while the response for the configuration is lost.
+     */
+    @Test
+    void aKindWhoseResponseIsLostIsReadAgainAndNotConfirmedMeanwhile() {
+        OneFollower region = new OneFollower();
+        loop.runAndWait(() -> relay.setRegion(region));
+        respond(last("config"), NO_CHANGES);
+        respond(last("servers"), NO_CHANGES);
+        assertThat(region.lastPositions()).containsExactly("servers", "config");
+        Call lost = last("config");
+        long sentNanos = System.nanoTime();
+        int next = calls("config").size() + 1;
+        HostFixture.await(() -> {
+            if (!last("servers").response().isDone()) {
+                respond(last("servers"), NO_CHANGES);
+            }
+            return calls("config").size() >= next;
+        });
+        long detectedMillis = (System.nanoTime() - sentNanos) / 1_000_000;
+        respond(last("servers"), NO_CHANGES);
+
+        assertThat(detectedMillis).isLessThan(3000);
+        assertThat(lost.response().isCancelled()).isTrue();
+        assertThat(last("config").target()).contains("waitMs=1");
+        assertThat(region.lastPositions()).containsExactly("servers");
+        respond(last("config"), NO_CHANGES);
+        assertThat(region.lastPositions()).containsExactly("servers", "config");
+    }
+
+    /** Guards against a proof of the configuration that is younger than the call which was answered. */
+    @Test
+    void theProvenAgeCountsFromTheTimeAtWhichTheAnsweredCallWasSent() throws InterruptedException {
+        respond(last("config"), """
+                {"events":[{"object":{"metadata":{"name":"main","revision":6},"specification":{}}}],"at":6}""");
+        Call call = awaitCall("config", 3);
+        Thread.sleep(200);
+        respond(call, """
+                {"events":[{"object":{"metadata":{"name":"main","revision":7},"specification":{}}}],"at":7}""");
+        long[] age = new long[1];
+        loop.runAndWait(() -> age[0] = configuration.provenAgeMillis().orElseThrow());
+
+        assertThat(age[0]).isAtLeast(200);
+        assertThat(age[0]).isLessThan(1000);
+    }
 }
--- a/host/src/test/java/io/carawaylift/host/MalformedPeerMessageTest.java
+++ b/host/src/test/java/io/carawaylift/host/MalformedPeerMessageTest.java
@@ -72,11 +72,13 @@
                 new Message.RegionReports(List.of(
                         new Message.RegionReport("region-a", 1, List.of(report("x", "region-a", null)), Map.of()),
                         new Message.RegionReport(null, 1, List.of(), Map.of()))),
-                new Message.ObjectChanges(null, List.of()),
+                new Message.ObjectChanges(null, 0, List.of()),
                 new Message.ObjectChanges(
-                        "servers", List.of(new Message.ObjectChange("e-9", 900, false, 0, RecordBytes.of("no json")))),
-                new Message.ObjectChanges("servers", List.of(new Message.ObjectChange("e-9", 901, false, 0, null))),
-                new Message.ObjectPositions(true, List.of(new Message.ObjectPosition(null, 1, 1))),
+                        "servers",
+                        0,
+                        List.of(new Message.ObjectChange("e-9", 900, false, 0, RecordBytes.of("no json")))),
+                new Message.ObjectChanges("servers", 0, List.of(new Message.ObjectChange("e-9", 901, false, 0, null))),
+                new Message.ObjectPositions(true, 0, List.of(new Message.ObjectPosition(null, 1, 1))),
                 new Message.ObjectsRequest(null));
         try (PeerNetwork network = PeerNetwork.builder().build()) {
             PeerLink link = network.connect(
--- a/host/src/test/java/io/carawaylift/host/StoreRelayTest.java
+++ b/host/src/test/java/io/carawaylift/host/StoreRelayTest.java
@@ -88,6 +88,25 @@
         calls.values().forEach(ofFollower -> assertThat(ofFollower).isEqualTo(0));
     }
 
+    /** Guards against currency that is bought with more calls: those of a settled region are counted. */
+    @Test
+    void theCallsOfASettledRegionAreBounded() throws Exception {
+        awaitFollowers(HOSTS - 1);
+        // The watches of the time in which the hosts find each other have ended by then.
+        Thread.sleep(12_000);
+        Map<HostFixture, Double> before = new HashMap<>();
+        hosts.forEach(host -> before.put(host, calls(host)));
+        HostFixture relay = relay();
+        Thread.sleep(20_000);
+        double ofRelay = 3 * (calls(relay) - before.get(relay));
+        double all = 3
+                * hosts.stream()
+                        .mapToDouble(host -> calls(host) - before.get(host))
+                        .sum();
+        assertThat(ofRelay).isAtMost(102.0);
+        assertThat(all - ofRelay).isEqualTo(0.0);
+    }
+
     /** Guards against followers that miss changes after the relay has stopped. */
     @Test
     void changesAreInForceWithinTheLimitAfterTheRelayStops() throws IOException {
@@ -102,6 +121,60 @@
         assertThat(System.nanoTime() - changedNanos).isLessThan(2_500_000_000L);
     }
 
+    /** Guards against an old configuration that stays in force because one response to the relay was lost. */
+    @Test
+    void aChangeWhoseResponseToTheRelayIsLostIsInForceEverywhereWithinTheStabilityWindow() {
+        awaitFollowers(HOSTS - 1);
+        store.loseWatch("config");
+        long changedNanos = System.nanoTime();
+        hosts.get(0).configure(9);
+        awaitInForce(9);
+
+        assertThat(System.nanoTime() - changedNanos).isLessThan(4_000_000_000L);
+    }
+
+    /** Guards against a region that goes on with an old configuration while only its relay has lost the store. */
+    @Test
+    void hostsThatReachTheStoreKnowAChangeSoonWhenTheRelayIsCutOffFromIt() throws Exception {
+        awaitFollowers(HOSTS - 1);
+        HostFixture relay = relay();
+        relay.cutOffFromStore();
+        long changedNanos = System.nanoTime();
+        hosts.get(0).configure(9);
+        hosts.stream()
+                .filter(host -> host != relay)
+                .forEach(host -> host.awaitLine("configuration.in_force", "\"version\":9"));
+
+        assertThat(System.nanoTime() - changedNanos).isLessThan(2_000_000_000L);
+    }
+
+    /** Guards against requests to cold endpoints of a zone that is taken back, whose entries are not known yet. */
+    @Test
+    void theEndOfAnEvacuationWaitsForTheEntriesOfItsEndpoints() throws IOException {
+        HostFixture first = hosts.get(0);
+        store.put("evacuations", "zone-a", "{}");
+        hosts.forEach(host -> host.awaitLine("zone.evacuation", "\"evacuated\":true"));
+        awaitFollowers(HOSTS - 1);
+        store.loseWatch("servers");
+        first.addEndpoint("e-7");
+        store.delete("evacuations", "zone-a");
+        for (HostFixture host : hosts) {
+            host.awaitLine("zone.evacuation", "\"evacuated\":false");
+            List<String> lines = host.log().lines().toList();
+            assertThat(indexOf(lines, "endpoint.listed", "e-7"))
+                    .isLessThan(indexOf(lines, "zone.evacuation", "\"evacuated\":false"));
+        }
+    }
+
+    private static int indexOf(List<String> lines, String... texts) {
+        for (int i = 0; i < lines.size(); i++) {
+            if (List.of(texts).stream().allMatch(lines.get(i)::contains)) {
+                return i;
+            }
+        }
+        return lines.size();
+    }
+
     /** Guards against a host that refuses all requests because it started while the store was unreachable. */
     @Test
     void aHostThatStartsWhileTheStoreIsUnreachableLearnsFromTheOthers() throws IOException {
--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -185,8 +185,9 @@
      * Changes of objects of one kind that the sender received from the platform.
      *
      * @param kind kind of the objects in the platform
+     * @param revision platform revision at which the deleted objects were gone, or a later one
      */
-    record ObjectChanges(String kind, List<ObjectChange> changes) implements Message {
+    record ObjectChanges(String kind, long revision, List<ObjectChange> changes) implements Message {
         public ObjectChanges {
             changes = List.copyOf(changes);
         }
@@ -204,9 +205,11 @@
     /**
      * Positions of the sender in the changes of some kinds, sent after all changes up to them.
      *
-     * @param current whether the platform has just confirmed to the sender that its view is current
+     * @param current whether the sender holds its view of these kinds current: it follows the platform, and each of its
+     *     calls for them is answered
+     * @param ageMillis time since the platform last responded to the sender, for any kind
      */
-    record ObjectPositions(boolean current, List<ObjectPosition> positions) implements Message {
+    record ObjectPositions(boolean current, long ageMillis, List<ObjectPosition> positions) implements Message {
         public ObjectPositions {
             positions = List.copyOf(positions);
         }
--- a/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
+++ b/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
@@ -13,8 +13,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -36,6 +38,9 @@
     private long oldestKnownRevision;
     private int rejectionStatus;
     private boolean silent;
+    private final Map<String, HttpServer> serversByClient = new HashMap<>();
+    private final Set<Integer> silentPorts = new HashSet<>();
+    private final ThreadLocal<Integer> portOfCall = new ThreadLocal<>();
     private int silences;
     private String kindOfLostResponse = "";
     private int callCount;
@@ -54,6 +59,25 @@
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** Returns an address for one client, so that it alone can be cut off. */
+    public synchronized String address(String client) throws IOException {
+        HttpServer ofClient = serversByClient.get(client);
+        if (ofClient == null) {
+            ofClient = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+            ofClient.createContext("/", this::handle);
+            ofClient.setExecutor(executor);
+            ofClient.start();
+            serversByClient.put(client, ofClient);
+        }
+        return "127.0.0.1:" + ofClient.getAddress().getPort();
+    }
+
+    /** Never answers the calls of one client that wait or come from now on. */
+    public synchronized void cutOff(String client) {
+        silentPorts.add(serversByClient.get(client).getAddress().getPort());
+        notifyAll();
+    }
+
     /**
      * Creates or replaces an object.
      *
@@ -147,6 +171,7 @@
 
     private void handle(HttpExchange exchange) throws IOException {
         countCall();
+        portOfCall.set(exchange.getLocalAddress().getPort());
         try (exchange) {
             QueryStringDecoder target =
                     new QueryStringDecoder(exchange.getRequestURI().toString());
@@ -175,7 +200,7 @@
 
     /** Blocks until the store is closed if it is silent, or was since the call for which {@code before} was read. */
     private void holdIfSilent(int before) throws InterruptedException {
-        if (silent || silences != before) {
+        if (silent || silences != before || silentPorts.contains(portOfCall.get())) {
             hold();
         }
     }
@@ -261,6 +286,9 @@
     public void close() {
         rejectWith(503);
         server.stop(0);
+        synchronized (this) {
+            serversByClient.values().forEach(each -> each.stop(0));
+        }
         executor.shutdownNow();
     }
 }
