Limit customers' requests on running hosts

Cause: the quotas of decisions.quota were not connected to hosts.

Change: messages 22 (QuotaReport) and 23 (QuotaSums), sent with the other reports if the configuration in force has limited customers; package host.quota; a refused request gets 429, code 206, and Retry-After; a request that ends without having run gives its permit back. A permit counts from the time at which the request is sent, since that begins the window of its run. Fractions of a request are rounded up only where overage and slack leave room: with neither, three hosts admitted 13 of 12.

--- a/decisions/src/main/java/io/carawaylift/decisions/quota/CustomerQuotas.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/quota/CustomerQuotas.java
@@ -26,7 +26,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final QuotaTerms terms;
-    private final long maxAgeNanos;
+    private long maxAgeNanos = 1_200_000_000L;
     private final RandomGenerator random;
     private final Map<String, CustomerState> states = new HashMap<>();
     private final Map<String, KnownTotals> knownBySource = new HashMap<>();
@@ -57,7 +57,6 @@
 
     private CustomerQuotas(Builder builder) {
         this.terms = Objects.requireNonNull(builder.terms, "terms");
-        this.maxAgeNanos = builder.maxAgeNanos;
         this.random = builder.random;
         this.sequence = builder.firstReport;
     }
@@ -72,6 +71,11 @@
         listedHosts = Math.max(1, hosts);
     }
 
+    /** Sets the age from which sums are no longer used. */
+    public void setMaxAgeNanos(long nanos) {
+        maxAgeNanos = nanos;
+    }
+
     /** Admits a request of a customer or returns when to try again. */
     public Admission tryAdmit(Customer customer, long nowNanos) {
         if (!customer.isLimited()) {
@@ -293,7 +297,6 @@
     /** Builds a {@link CustomerQuotas}. */
     public static final class Builder {
         private QuotaTerms terms;
-        private long maxAgeNanos = 1_200_000_000L;
         private long firstReport;
         private RandomGenerator random = new SplittableRandom();
 
@@ -305,12 +308,6 @@
             return this;
         }
 
-        /** Sets the age in nanoseconds after which sums are no longer used. */
-        public Builder maxAgeNanos(long nanos) {
-            maxAgeNanos = nanos;
-            return this;
-        }
-
         /**
          * Sets the number after which reports are numbered. It must be higher than the numbers of an earlier run of
          * the host, since sums that include a report of that run do not include this run's.
--- a/decisions/src/main/java/io/carawaylift/decisions/quota/QuotaExchange.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/quota/QuotaExchange.java
@@ -57,9 +57,9 @@
         return own;
     }
 
-    /** Returns the sums over all hosts for the hosts of the own region, and over the own region for others. */
-    public QuotaTotals totals(boolean ownRegion, long nowNanos) {
-        return ownRegion ? relayed.all(nowNanos) : relayed.ownRegion(nowNanos);
+    /** Returns the sums over the hosts of the own region only, for relays of others, or over all hosts. */
+    public QuotaTotals totals(boolean ownRegionOnly, long nowNanos) {
+        return ownRegionOnly ? relayed.ownRegion(nowNanos) : relayed.all(nowNanos);
     }
 
     /** Returns the sums as a message to a host. */
--- a/decisions/src/main/java/io/carawaylift/decisions/quota/QuotaShare.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/quota/QuotaShare.java
@@ -8,11 +8,12 @@
  *
  * @param fraction part of the remaining requests that this host may admit
  * @param allowed requests that it may admit, a fraction of a request included; negative if others must leave first
+ * @param roundedUp part of the fractions of a request that may be rounded up
  * @param least requests that it may admit in any case
  * @param used requests that it has admitted of these
  * @param total requests of all hosts in the window, as far as known
  */
-record QuotaShare(double fraction, double allowed, int least, int used, QuotaCount total) {
+record QuotaShare(double fraction, double allowed, double roundedUp, int least, int used, QuotaCount total) {
     /**
      * Highest demand that is expected, as a multiple of the rate; a customer that sends 7.5 times its usual rate sends
      * 4.7 times the limit.
@@ -48,7 +49,13 @@
             QuotaTerms terms, Customer customer, int listedHosts, double granted, int admittedInWindow) {
         double equalPart = Math.min(terms.target(customer) / listedHosts, Math.floor(terms.bound(customer)));
         double allowed = Math.min(granted, equalPart);
-        return new QuotaShare(1.0 / listedHosts, allowed, 0, admittedInWindow, QuotaCount.NONE);
+        return new QuotaShare(
+                1.0 / listedHosts,
+                allowed,
+                roundedUp(terms, customer, listedHosts),
+                0,
+                admittedInWindow,
+                QuotaCount.NONE);
     }
 
     /**
@@ -74,8 +81,9 @@
         double byDemand = total.arrived() == 0 ? 1.0 / hosts.listed() : (double) arrived / total.arrived();
         double fraction = (1 - evenPart) * Math.min(1, byDemand) + evenPart / hosts.listed();
         double share = fraction * remaining;
+        double roundedUp = roundedUp(terms, customer, hosts.listed());
         int least = 0;
-        if (hosts.silent() <= MAX_SILENT * hosts.listed() && remaining > 0) {
+        if (roundedUp == 1 && hosts.silent() <= MAX_SILENT * hosts.listed() && remaining > 0) {
             double demand = MAX_DEMAND * customer.requestsPerSecond() * Math.max(MIN_AGE_SECONDS, ageSeconds);
             double room = bound - terms.reserve() - target * hosts.silent() / hosts.listed() - total.admitted();
             least = eachMayAdmit(hosts.listed(), demand, room);
@@ -85,7 +93,15 @@
                     Math.min(MAX_DEVIATIONS, VARIATION_PART * (bound - target) / Math.sqrt(hosts.listed() * remaining));
             share += deviations * Math.sqrt(share);
         }
-        return new QuotaShare(fraction, share, least, (int) sinceReport, total);
+        return new QuotaShare(fraction, share, roundedUp, least, (int) sinceReport, total);
+    }
+
+    /**
+     * Returns the part of the fractions of a request that may be rounded up. The numbers of all hosts, rounded at random,
+     * vary by up to half of the root of the hosts; nothing is rounded up if the bound leaves no room for that.
+     */
+    private static double roundedUp(QuotaTerms terms, Customer customer, int hosts) {
+        return Math.min(1, (terms.bound(customer) - terms.target(customer)) / Math.sqrt(hosts));
     }
 
     /**
@@ -113,12 +129,12 @@
 
     /** Returns this share with at most {@code more} further requests allowed. */
     QuotaShare atMost(double more) {
-        return new QuotaShare(fraction, Math.min(allowed, used + more), 0, used, total);
+        return new QuotaShare(fraction, Math.min(allowed, used + more), roundedUp, 0, used, total);
     }
 
     /** Returns the requests that may be admitted; {@code rounding} is a random number between 0 and 1. */
     int permits(double rounding) {
-        return Math.max(least, (int) Math.floor(allowed + rounding));
+        return Math.max(least, (int) Math.floor(allowed + roundedUp * rounding));
     }
 
     /** Returns the nanoseconds until the requests that leave the window are expected to make the next one possible. */
--- a/decisions/src/main/java/io/carawaylift/decisions/quota/RelayedCounts.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/quota/RelayedCounts.java
@@ -13,7 +13,7 @@
  */
 public final class RelayedCounts {
     private final long windowNanos;
-    private final long maxAgeNanos;
+    private long maxAgeNanos = 1_400_000_000L;
     private final Map<String, HostCounts> hosts = new TreeMap<>();
     private final List<HostCounts> endedRuns = new ArrayList<>();
     private final Map<String, Map<String, RegionCounts>> regions = new TreeMap<>();
@@ -26,11 +26,14 @@
      * Creates an empty collection.
      *
      * @param windowNanos length of the quota window
-     * @param maxAgeNanos age from which a host counts as silent
      */
-    public RelayedCounts(long windowNanos, long maxAgeNanos) {
+    public RelayedCounts(long windowNanos) {
         this.windowNanos = windowNanos;
-        this.maxAgeNanos = maxAgeNanos;
+    }
+
+    /** Sets the age from which a host counts as silent. */
+    public void setMaxAgeNanos(long nanos) {
+        maxAgeNanos = nanos;
     }
 
     /**
--- a/decisions/src/test/java/io/carawaylift/decisions/quota/QuotaSimulation.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/quota/QuotaSimulation.java
@@ -214,7 +214,7 @@
                     .firstReport(QuotaExchange.firstReport(1 + now / 1_000_000))
                     .build();
             quotas.setListedHosts(HOSTS);
-            exchange = new QuotaExchange(name, quotas, new RelayedCounts(TERMS.windowNanos(), CONTACT_NANOS));
+            exchange = new QuotaExchange(name, quotas, new RelayedCounts(TERMS.windowNanos()));
             heard.clear();
             contacted.clear();
             incoming.clear();
@@ -266,8 +266,8 @@
             boolean relay = RelayOrder.isRelay(order, name, this::isLive);
             incoming.values().removeIf(time -> now - time > CONTACT_NANOS);
             OwnCounts own = exchange.nextReport(relay || !incoming.isEmpty(), clock.nanos());
-            QuotaTotals region = exchange.totals(false, clock.nanos());
-            QuotaTotals all = exchange.totals(true, clock.nanos());
+            QuotaTotals region = exchange.totals(true, clock.nanos());
+            QuotaTotals all = exchange.totals(false, clock.nanos());
             for (String contact : RelayOrder.contacts(order, name, this::isLive)) {
                 contacted.putIfAbsent(contact, now);
                 Host to = byName.get(contact);
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -10,6 +10,7 @@
 import io.carawaylift.decisions.route.RequestKind;
 import io.carawaylift.decisions.route.Route;
 import io.carawaylift.decisions.route.RouteTable;
+import io.carawaylift.host.quota.QuotaPermit;
 import io.carawaylift.model.Outcome;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.platform.store.LoadHeader;
@@ -74,6 +75,7 @@
     private ServiceTraffic traffic;
     private long deadlineNanos;
     private HostLoop.Timer timer;
+    private QuotaPermit quotaPermit = QuotaPermit.UNLIMITED;
     private boolean finished;
     private boolean queued;
     private DispatchRequest dispatch;
@@ -122,6 +124,11 @@
             finish(ResultCode.BAD_REQUEST, "no request id");
             return;
         }
+        quotaPermit = forwarder.quotas().tryAdmit(customer);
+        if (!quotaPermit.isGranted()) {
+            finish(ResultCode.QUOTA_EXCEEDED, "no permit is expected for " + quotaPermit.waitMillis() + " ms");
+            return;
+        }
         service = forwarder.chooseService(route);
         traffic = forwarder.traffic(service, route);
         traffic.arrived(object, arrivedNanos);
@@ -263,6 +270,9 @@
             return;
         }
         inFlightConnection = connection;
+        if (!mayHaveRun) {
+            quotaPermit.sent();
+        }
         mayHaveRun = true;
         runs++;
         FullHttpRequest request =
@@ -469,6 +479,9 @@
 
     /** Returns the seconds after which some of the requests at the endpoints are expected to have completed. */
     private double retryAfterSeconds() {
+        if (!quotaPermit.isGranted()) {
+            return quotaPermit.waitMillis() / MILLIS_PER_SECOND;
+        }
         if (traffic == null) {
             return UNKNOWN_RETRY_AFTER_SECONDS;
         }
@@ -478,6 +491,9 @@
 
     private void end(ResultCode code, int status, String reason) {
         finished = true;
+        if (!mayHaveRun) {
+            quotaPermit.giveBack();
+        }
         if (timer != null) {
             timer.cancel();
         }
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -14,6 +14,7 @@
 import io.carawaylift.decisions.route.RouteTable;
 import io.carawaylift.decisions.route.ServiceProfile;
 import io.carawaylift.decisions.route.ServiceRotation;
+import io.carawaylift.host.quota.HostQuotas;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.peer.Message;
 import io.netty.handler.codec.http.HttpRequest;
@@ -46,6 +47,7 @@
     private final EndpointConnectionPool pool;
     private final EndpointPicker picker;
     private final HostMembership membership;
+    private final HostQuotas quotas;
     private final RequestAccess.Source access;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
@@ -71,6 +73,7 @@
             EndpointRegistry registry,
             EndpointConnectionPool pool,
             HostMembership membership,
+            HostQuotas quotas,
             RequestAccess.Source access) {
         this.options = options;
         this.limits = options.limits();
@@ -81,6 +84,7 @@
         this.registry = registry;
         this.pool = pool;
         this.membership = membership;
+        this.quotas = quotas;
         this.access = access;
         this.picker = new EndpointPicker(registry, options.host().failureDomain());
         this.regions = new LinkedHashSet<>(options.regionsByZone().values());
@@ -151,6 +155,10 @@
         return access;
     }
 
+    HostQuotas quotas() {
+        return quotas;
+    }
+
     /** Returns a random number between 0 and 1. */
     double randomFraction() {
         return random.nextDouble();
--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.carawaylift.decisions.fleet.Rendezvous;
 import io.carawaylift.decisions.relay.RelayOrder;
+import io.carawaylift.host.quota.HostQuotas;
+import io.carawaylift.host.quota.PeerTarget;
 import io.carawaylift.peer.Connection;
 import io.carawaylift.peer.Message;
 import io.carawaylift.peer.Message.HostReport;
@@ -83,6 +85,7 @@
     private final HostLoop loop;
     private final EventLog log;
     private final Supplier<HostReport> ownReport;
+    private final HostQuotas quotas;
     private final StoreRelay relay;
     private final PeerNetwork network;
     private final KindWatcher watcher;
@@ -110,7 +113,8 @@
             StoreRelay relay,
             HostLoop loop,
             EventLog log,
-            Supplier<HostReport> ownReport) {
+            Supplier<HostReport> ownReport,
+            HostQuotas quotas) {
         this.options = options;
         this.ownName = options.host().id();
         this.ownRegion = options.host().region();
@@ -119,6 +123,7 @@
         this.loop = loop;
         this.log = log;
         this.ownReport = ownReport;
+        this.quotas = quotas;
         this.views = new RegionViews(ownName, ownRegion, this::maxReportAgeNanos);
         this.network = PeerNetwork.builder()
                 .pingInterval(PING_INTERVAL)
@@ -203,6 +208,16 @@
                 .values()
                 .forEach(outgoing -> outgoing.link().send(outgoing.region().equals(ownRegion) ? own : ownRegionOnly));
         sendUpdates(full);
+        quotas.sendReports(peerTargets(), listedHosts(), reportIntervalMillis());
+    }
+
+    private List<PeerTarget> peerTargets() {
+        List<PeerTarget> targets = new ArrayList<>();
+        outgoingLinks.forEach(
+                (host, outgoing) -> targets.add(new PeerTarget(host, outgoing.region(), true, outgoing.link()::send)));
+        incomingConnections.forEach((host, connection) ->
+                targets.add(new PeerTarget(host, connection.remote().region(), false, connection::send)));
+        return targets;
     }
 
     /** Schedules an update to the hosts that report to this one; changes close together share one update. */
@@ -471,7 +486,7 @@
             reports.regions().stream()
                     .filter(HostMembership::isComplete)
                     .forEach(region -> views.update(host, region, now));
-        } else {
+        } else if (!quotas.received(host, connection.remote().region(), message)) {
             relay.messageReceived(connection, message);
         }
     }
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -2,8 +2,10 @@
 
 import io.carawaylift.decisions.customer.ClockReading;
 import io.carawaylift.decisions.fleet.EndpointRegistry;
+import io.carawaylift.decisions.quota.QuotaTerms;
 import io.carawaylift.decisions.route.CallerLimits;
 import io.carawaylift.decisions.route.RouteTable;
+import io.carawaylift.host.quota.HostQuotas;
 import io.carawaylift.peer.Message;
 import io.carawaylift.platform.store.ObjectStoreClient;
 import io.carawaylift.platform.store.StoreKinds;
@@ -47,6 +49,7 @@
     private final ObjectStoreClient store;
     private final StoreRelay relay;
     private final StoreView storeView;
+    private final HostQuotas quotas;
     private final HostMembership membership;
     private final EndpointConnectionPool pool;
     private final ConfigurationFreshness freshness;
@@ -68,7 +71,17 @@
         StoreRetries retries = new StoreRetries(loop);
         this.relay = new StoreRelay(StoreKinds.ENDPOINTS);
         this.storeView = new StoreView(registry, store, retries, relay, loop, log, options.regionsByZone());
-        this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report);
+        this.quotas = HostQuotas.builder()
+                .host(options.host().id(), options.host().region())
+                .terms(new QuotaTerms(
+                        options.bounds().quotaWindow().toNanos(),
+                        options.bounds().quotaOverage(),
+                        options.bounds().quotaSlack()))
+                .startedMillis(startedMillis)
+                .customers(() -> storeView.customers().all())
+                .monitor(new QuotaEvents(log, metrics, this::quotaShare))
+                .build();
+        this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report, quotas);
         BufferBudget buffers = new BufferBudget(options.buffers().maxTotalBytes());
         this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers);
         this.freshness = new ConfigurationFreshness(
@@ -88,6 +101,7 @@
                 registry,
                 pool,
                 membership,
+                quotas,
                 new RequestAccess.Source(storeView::customers, freshness));
         this.callers = new CallerServer(loop, this::callerLimits, buffers, forwarder);
         this.lookups = new Lookups(this::report, membership::liveHosts);
@@ -106,9 +120,14 @@
         metrics.gauge("carawaylift.configuration.usable", () -> freshness.wasUsable() ? 1 : 0);
         relay.watchers().forEach(this::addGauges);
         metrics.gauge("carawaylift.buffers.bytes", buffers::usedBytes);
+        metrics.gauge("carawaylift.quota.counts.age.seconds", quotas::ageSeconds);
         metrics.gauge("carawaylift.log.dropped", log::droppedLines);
     }
 
+    private double quotaShare(String customer) {
+        return quotas.share(customer);
+    }
+
     private void addGauges(KindWatcher watcher) {
         metrics.gauge("carawaylift.store.age.seconds", watcher::ageSeconds, "kind", watcher.kind());
         metrics.gauge("carawaylift.store.call.age.seconds", watcher::callAgeSeconds, "kind", watcher.kind());
--- a/model/src/main/java/io/carawaylift/model/ResultCode.java
+++ b/model/src/main/java/io/carawaylift/model/ResultCode.java
@@ -15,6 +15,7 @@
     TICKET_REQUIRED(203, 428, Outcome.NOT_RUN, "A once-only request needs a ticket."),
     LEDGER_FULL(204, 503, Outcome.NOT_RUN, "The ledger of once-only requests has no room for a new ticket."),
     UNKNOWN_KEY(205, 401, Outcome.NOT_RUN, "The request has no key, or one that identifies no customer."),
+    QUOTA_EXCEEDED(206, 429, Outcome.NOT_RUN, "The customer has used up its quota."),
     NO_TABLE(210, 503, Outcome.NOT_RUN, "The process has not learned a table yet."),
     NO_UPSTREAM(211, 503, Outcome.NOT_RUN, "No upstream of the service may take the request now."),
     QUEUE_FULL(212, 503, Outcome.NOT_RUN, "The queue is full of work of the same or higher rank."),
--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -2,6 +2,7 @@
 
 import io.carawaylift.model.EntryProcess;
 import io.carawaylift.model.MemberReport;
+import io.carawaylift.model.QuotaCount;
 import io.carawaylift.model.RecordBytes;
 import java.util.List;
 import java.util.Map;
@@ -240,4 +241,31 @@
      *     lower one
      */
     record FreshnessReply(long token, long digest, long ageMillis, long version) implements Message {}
+
+    /**
+     * Counts of the requests of limited customers at a host, for the relays of its region.
+     *
+     * @param report number of the report, higher than those of all earlier ones of the host
+     * @param counts counts by customer, of those that had requests in the quota window
+     */
+    record QuotaReport(long report, Map<String, QuotaCount> counts) implements Message {
+        public QuotaReport {
+            counts = Map.copyOf(counts);
+        }
+    }
+
+    /**
+     * Sums of counts from a relay: over all hosts for hosts of its region, over the hosts of its region for others.
+     *
+     * @param report number of the sender's last report
+     * @param includedReport number of the receiver's last report that the sender received, which proves that the sums
+     *     are newer than that report; 0 if none
+     * @param hosts number of hosts whose recent counts are included
+     * @param counts sums by customer, of those that had requests in the quota window
+     */
+    record QuotaSums(long report, long includedReport, int hosts, Map<String, QuotaCount> counts) implements Message {
+        public QuotaSums {
+            counts = Map.copyOf(counts);
+        }
+    }
 }
--- a/peer/src/main/java/io/carawaylift/peer/MessageType.java
+++ b/peer/src/main/java/io/carawaylift/peer/MessageType.java
@@ -20,7 +20,9 @@
     OBJECTS_REQUEST(16, Message.ObjectsRequest.class),
     REGION_REPORTS(17, Message.RegionReports.class),
     FRESHNESS_REQUEST(20, Message.FreshnessRequest.class),
-    FRESHNESS_REPLY(21, Message.FreshnessReply.class);
+    FRESHNESS_REPLY(21, Message.FreshnessReply.class),
+    QUOTA_REPORT(22, Message.QuotaReport.class),
+    QUOTA_SUMS(23, Message.QuotaSums.class);
 
     private final int number;
     private final Class<? extends Message> messageClass;
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -8,6 +8,7 @@
 import io.carawaylift.model.Member;
 import io.carawaylift.model.MemberReport;
 import io.carawaylift.model.MemberState;
+import io.carawaylift.model.QuotaCount;
 import io.carawaylift.model.RecordBytes;
 import io.carawaylift.model.Release;
 import io.carawaylift.model.UpstreamMeasure;
@@ -51,6 +52,8 @@
                 new Message.ObjectsRequest("kind"),
                 new Message.FreshnessRequest(5),
                 new Message.FreshnessReply(5, -9, 1234, 7),
+                new Message.QuotaReport(1L << 60, Map.of("customer", new QuotaCount(9, 1, 2, 3, 0, 400))),
+                new Message.QuotaSums(7, 6, 67, Map.of("customer", new QuotaCount(9000, 1, 2, 3, 0, 400))),
                 new Message.RegionReports(List.of(
                         new Message.RegionReport(
                                 "r",
