--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -12,6 +12,7 @@
 import io.carawaylift.decisions.route.RequestKind;
 import io.carawaylift.decisions.route.Route;
 import io.carawaylift.decisions.route.RouteTable;
+import io.carawaylift.host.quota.QuotaPermit;
 import io.carawaylift.model.Outcome;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.platform.store.LoadHeader;
@@ -77,6 +78,7 @@
     private RouteLoad routeLoad;
     private long deadlineNanos;
     private HostLoop.Timer timer;
+    private QuotaPermit quotaPermit = QuotaPermit.UNLIMITED;
     private boolean finished;
     private boolean queued;
     private DispatchRequest dispatch;
@@ -125,6 +127,11 @@
             finish(ResultCode.BAD_REQUEST, "no request id");
             return;
         }
+        quotaPermit = forwarder.quotas().tryAdmit(customer);
+        if (!quotaPermit.isGranted()) {
+            finish(ResultCode.QUOTA_EXCEEDED, "no permit is expected for " + quotaPermit.waitMillis() + " ms");
+            return;
+        }
         service = forwarder.chooseService(route);
         traffic = forwarder.traffic(service, route);
         routeLoad = traffic.route(route, arrivedNanos);
@@ -278,6 +285,9 @@
             return;
         }
         inFlightConnection = connection;
+        if (!mayHaveRun) {
+            quotaPermit.sent();
+        }
         mayHaveRun = true;
         runs++;
         FullHttpRequest request =
@@ -503,6 +513,9 @@
 
     /** Returns the seconds after which some of the requests at the endpoints are expected to have completed. */
     private double retryAfterSeconds() {
+        if (!quotaPermit.isGranted()) {
+            return quotaPermit.waitMillis() / MILLIS_PER_SECOND;
+        }
         if (traffic == null) {
             return UNKNOWN_RETRY_AFTER_SECONDS;
         }
@@ -512,6 +525,9 @@
 
     private void end(ResultCode code, int status, String reason) {
         finished = true;
+        if (!mayHaveRun) {
+            quotaPermit.giveBack();
+        }
         if (timer != null) {
             timer.cancel();
         }
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -14,6 +14,7 @@
 import io.carawaylift.decisions.route.RouteTable;
 import io.carawaylift.decisions.route.ServiceProfile;
 import io.carawaylift.decisions.route.ServiceRotation;
+import io.carawaylift.host.quota.HostQuotas;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.peer.Message;
 import io.netty.handler.codec.http.HttpRequest;
@@ -47,6 +48,7 @@
     private final EndpointPicker picker;
     private final HostMembership membership;
     private final EndpointPushBack pushBack;
+    private final HostQuotas quotas;
     private final RequestAccess.Source access;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
@@ -72,6 +74,7 @@
             EndpointRegistry registry,
             EndpointConnectionPool pool,
             HostMembership membership,
+            HostQuotas quotas,
             RequestAccess.Source access) {
         this.options = options;
         this.limits = options.limits();
@@ -90,6 +93,7 @@
                 this::closeIdleConnections,
                 this::sendQueuedRequests,
                 membership::broadcast);
+        this.quotas = quotas;
         this.access = access;
         this.picker = new EndpointPicker(
                 registry, options.host().failureDomain(), options.host().id().hashCode());
@@ -165,6 +169,10 @@
         return access;
     }
 
+    HostQuotas quotas() {
+        return quotas;
+    }
+
     /** Returns a random number between 0 and 1. */
     double randomFraction() {
         return random.nextDouble();
--- a/peer/src/main/java/io/carawaylift/peer/MessageType.java
+++ b/peer/src/main/java/io/carawaylift/peer/MessageType.java
@@ -21,6 +21,8 @@
     REGION_REPORTS(17, Message.RegionReports.class),
     FRESHNESS_REQUEST(20, Message.FreshnessRequest.class),
     FRESHNESS_REPLY(21, Message.FreshnessReply.class),
+    QUOTA_REPORT(22, Message.QuotaReport.class),
+    QUOTA_SUMS(23, Message.QuotaSums.class),
     ENDPOINT_LEAVING(24, Message.EndpointLeaving.class);
 
     private final int number;
