Answer pipelined requests in order and bound what they hold

Cause: requests behind a response with Connection: close were run if they arrived before the connection was closed, also while the host stopped. The close with unread bytes reset the connection, so that callers lost the response. A safe request waited for a slow one. A connection with 64 buffered messages was closed, and nothing bounded the responses that a caller did not read, nor how long they were held. A 100 could precede an earlier response.

Change: CallerConnection keeps its exchanges in order. Idempotent requests run beside each other, any other alone. Nothing behind the last response is run; the connection then ends its own direction and drops what arrives for 1 s. SyntaxHandler holds bytes back at message boundaries while the settings pipelines.* are reached, per connection or in total. A caller that reads nothing for idleTimeoutMs is disconnected. Pages hold requests back while their responses are unread. InvalidMessages is now PeerFaults.

--- a/host/src/main/java/io/carawaylift/host/CallerConnection.java
+++ b/host/src/main/java/io/carawaylift/host/CallerConnection.java
@@ -1,15 +1,16 @@
 package io.carawaylift.host;
 
 import io.carawaylift.host.http.InvalidMessage;
+import io.carawaylift.host.http.SyntaxHandler;
 import io.carawaylift.model.ResultCode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -24,56 +25,65 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
- * A connection of a caller: reads a complete request, passes it to the handler, writes the response, then reads the
- * next request. Used on the event loop only.
+ * A connection of a caller: reads complete requests, passes them to the handler and writes the responses in the order
+ * of the requests. Idempotent requests may run beside each other, any other runs alone. Used on the event loop only.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // failures close the channel, which is observed
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     /**
-     * Max buffered messages of pipelined requests while a request is in progress; callers normally send one request at
-     * a time.
+     * Time for the caller to read the last response before the connection is closed. A close with unread bytes resets
+     * the connection, by which the caller may lose the response.
      */
-    private static final int MAX_PIPELINED_MESSAGES = 64;
+    private static final int LINGER_MILLIS = 1000;
 
     private static final int REQUEST_TIMEOUT_STATUS = 408;
     private static final int HEADERS_TOO_LARGE_STATUS = 431;
-    private static final int NO_CONTENT_STATUS = 204;
-    private static final int NOT_MODIFIED_STATUS = 304;
+    private static final Set<Integer> BODYLESS_STATUSES = Set.of(204, 304);
 
     private final CallerServer server;
-    private final Handler handler;
-    private final Deque<Object> pipelinedMessages = new ArrayDeque<>();
+    private final CallerHandler handler;
+    private final SyntaxHandler syntax = SyntaxHandler.forRequests(this::mayReadRequest);
+
+    /** Exchanges whose responses are not written yet, in the order of the requests. */
+    private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
+
+    private final SlowReaderCheck slowReaderCheck = new SlowReaderCheck();
     private Channel channel;
     private HttpRequest head;
     private BodyBuffer body;
+    private boolean continueExpected;
     private long headReceivedNanos;
     private long lastActiveNanos;
-    private boolean readingHead;
-    private CallerRequest currentRequest;
-    private boolean responding;
+    private long lastReadNanos;
 
-    /** Responses that are not yet written completely, because the caller reads slowly. */
+    /** Responses, and their bytes, that are not yet written completely, because the caller reads slowly. */
     private int writing;
 
-    private boolean closeAfterResponse;
+    private long writingBytes;
 
-    /** Handles complete requests. */
-    interface Handler {
-        /** Starts to process a request. The handler takes ownership of {@code body} and must release it. */
-        CallerRequest handle(CallerConnection caller, HttpRequest head, BodyBuffer body, long arrivedNanos);
+    /** Whether no further request is read, because the connection ends with a response. */
+    private boolean readingEnded;
 
-        /** Called when a request is refused before it was read whole; {@code head} is null if it was not read. */
-        void refused(HttpRequest head, ResultCode code, int status);
-    }
+    private boolean paused;
+    private int reportedRequests;
+    private long reportedBytes;
+    private boolean advancing;
+    private boolean advanceAgain;
 
-    CallerConnection(CallerServer server, Handler handler) {
+    CallerConnection(CallerServer server, CallerHandler handler) {
         this.server = server;
         this.handler = handler;
     }
 
+    /** Returns the handler that must stand before the decoder. */
+    SyntaxHandler syntax() {
+        return syntax;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
@@ -84,26 +94,15 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (responding) {
-            bufferPipelined(message);
-            return;
-        }
         try {
-            read(message);
+            if (!readingEnded) {
+                read(message);
+            }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void bufferPipelined(Object object) {
-        if (pipelinedMessages.size() >= MAX_PIPELINED_MESSAGES) {
-            ReferenceCountUtil.release(object);
-            channel.close();
-            return;
-        }
-        pipelinedMessages.addLast(object);
-    }
-
     private void read(Object message) {
         if (message instanceof InvalidMessage invalid) {
             server.requestInvalid(channel.remoteAddress(), invalid);
@@ -125,12 +124,17 @@
     }
 
     private void begin(HttpRequest request) {
-        readingHead = false;
         head = request;
-        headReceivedNanos = System.nanoTime();
+        headReceivedNanos = lastReadNanos;
         body = new BodyBuffer(channel.alloc(), server.requestBudget(), HttpUtil.getContentLength(request, -1L));
-        closeAfterResponse = !HttpUtil.isKeepAlive(request);
-        if (HttpUtil.is100ContinueExpected(request)) {
+        continueExpected = HttpUtil.is100ContinueExpected(request);
+        sendContinueIfDue();
+    }
+
+    /** Sends an expected 100, but not before a response to an earlier request, to which it would belong. */
+    private void sendContinueIfDue() {
+        if (continueExpected && exchanges.isEmpty()) {
+            continueExpected = false;
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -138,7 +142,7 @@
 
     private void add(HttpContent content) {
         if (body.bytes().readableBytes() + (long) content.content().readableBytes()
-                > server.limits().maxBodyBytes()) {
+                > server.callerLimits().maxBodyBytes()) {
             refuse(ResultCode.BODY_TOO_LARGE, ResultCode.BODY_TOO_LARGE.httpStatus());
             return;
         }
@@ -147,15 +151,14 @@
             return;
         }
         if (content instanceof LastHttpContent) {
-            HttpRequest request = head;
-            BodyBuffer completeBody = body;
+            boolean last = !HttpUtil.isKeepAlive(head);
+            boolean concurrent = handler.isConcurrent(head);
+            exchanges.addLast(new CallerExchange(this, head, body, headReceivedNanos, last, concurrent));
             head = null;
             body = null;
-            responding = true;
-            CallerRequest started = handler.handle(this, request, completeBody, headReceivedNanos);
-            if (responding) {
-                currentRequest = started;
-            }
+            continueExpected = false;
+            readingEnded = last;
+            advance();
         }
     }
 
@@ -164,72 +167,170 @@
         handler.refused(head, code, status);
         releaseBody();
         head = null;
-        responding = true;
-        closeAfterResponse = true;
-        HttpHeaders headers = LocalResponses.headers();
+        readingEnded = true;
+        CallerExchange exchange = new CallerExchange(this, null, null, headReceivedNanos, true, false);
+        exchanges.addLast(exchange);
         ByteBuf content = Unpooled.copiedBuffer(LocalResponses.body(code, ""), StandardCharsets.UTF_8);
-        respond(status, headers, content, false, () -> {});
+        exchange.respond(status, LocalResponses.headers(), content, false, () -> {});
     }
 
-    /** Returns whether the connection is open. */
-    boolean isOpen() {
-        return channel.isActive();
+    /** Called when an exchange has its response. */
+    void responded(CallerExchange exchange) {
+        if (exchanges.contains(exchange)) {
+            advance();
+        } else {
+            // The connection was closed.
+            exchange.response().discard();
+        }
     }
 
-    /**
-     * Writes the response to the request in progress.
-     *
-     * @param headers headers of the response; this method sets Content-Length, unless {@code isHeadRequest} is true
-     * @param isHeadRequest whether {@code content} is empty because the request method was HEAD; a Content-Length in
-     *     {@code headers} then stays as it is, since it is the length that a GET would have
-     * @param contentReleased run once {@code content} is no longer held
-     */
-    void respond(int status, HttpHeaders headers, ByteBuf content, boolean isHeadRequest, Runnable contentReleased) {
-        currentRequest = null;
-        writing++;
-        boolean close = closeAfterResponse || server.isStopping();
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content, headers, LocalResponses.headers());
-        if (!isHeadRequest && status != NO_CONTENT_STATUS && status != NOT_MODIFIED_STATUS) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    /** Writes the responses and starts the requests whose turn it is. */
+    private void advance() {
+        advanceAgain = true;
+        if (advancing) {
+            return;
+        }
+        advancing = true;
+        try {
+            while (advanceAgain) {
+                advanceAgain = false;
+                while (!exchanges.isEmpty() && exchanges.peekFirst().response() != null) {
+                    write(exchanges.pollFirst());
+                }
+                startNext();
+            }
+        } finally {
+            advancing = false;
+        }
+        sendContinueIfDue();
+        reportHeld();
+        updateReading();
+    }
+
+    private void reportHeld() {
+        long bytes = heldBytes();
+        server.heldChanged(exchanges.size() - reportedRequests, bytes - reportedBytes);
+        reportedRequests = exchanges.size();
+        reportedBytes = bytes;
+    }
+
+    private void startNext() {
+        int running = 0;
+        boolean alone = false;
+        for (CallerExchange exchange : exchanges) {
+            if (!exchange.isStarted()) {
+                boolean first = exchange == exchanges.peekFirst();
+                if (first
+                        ? writingBytes < server.limits().maxConnectionBytes()
+                        : !alone && mayRunBeside(exchange, running)) {
+                    exchange.start(handler);
+                    // The response may have come at once and changed the queue.
+                    advanceAgain = true;
+                }
+                return;
+            }
+            if (exchange.response() == null) {
+                running++;
+                alone |= !exchange.isConcurrent();
+            }
+        }
+    }
+
+    /** A stopping host starts nothing behind a request, so that the response to that closes the connection. */
+    private boolean mayRunBeside(CallerExchange exchange, int running) {
+        return !server.isStopping()
+                && exchange.isConcurrent()
+                && running < server.limits().maxConcurrentRequests()
+                && heldBytes() < server.limits().maxConnectionBytes();
+    }
+
+    private void write(CallerExchange exchange) {
+        CallerExchange.Response response = exchange.response();
+        CallerExchange next = exchanges.peekFirst();
+        boolean close = exchange.isLast() || (server.isStopping() && (next == null || !next.isStarted()));
+        int contentBytes = response.content().readableBytes();
+        HttpHeaders headers = response.headers();
+        int status = response.status();
+        if (!response.isHeadRequest() && !BODYLESS_STATUSES.contains(status)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, contentBytes);
         }
         if (close) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            endReading();
         }
-        channel.writeAndFlush(response).addListener(done -> {
-            writing--;
-            contentReleased.run();
-            lastActiveNanos = System.nanoTime();
-            if (close || !done.isSuccess()) {
-                channel.close();
-            }
-        });
-        responding = false;
-        if (!close) {
-            readPipelined();
+        writing++;
+        writingBytes += contentBytes;
+        channel.writeAndFlush(new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(status),
+                        response.content(),
+                        headers,
+                        LocalResponses.headers()))
+                .addListener(done -> {
+                    writing--;
+                    writingBytes -= contentBytes;
+                    response.contentReleased().run();
+                    reportHeld();
+                    lastActiveNanos = System.nanoTime();
+                    if (!done.isSuccess()) {
+                        channel.close();
+                    } else if (close) {
+                        linger();
+                    } else {
+                        advance();
+                    }
+                });
+    }
+
+    /** Drops the requests behind a response that closes the connection: they count as not read. */
+    private void endReading() {
+        readingEnded = true;
+        releaseBody();
+        head = null;
+        continueExpected = false;
+        exchanges.forEach(CallerExchange::cancel);
+        exchanges.clear();
+        reportHeld();
+    }
+
+    /** Ends the connection in a way that lets the caller read the last response. */
+    private void linger() {
+        ((DuplexChannel) channel).shutdownOutput();
+        channel.eventLoop().schedule((Runnable) channel::close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean mayReadRequest() {
+        if (readingEnded || exchanges.isEmpty()) {
+            return true;
         }
+        return exchanges.size() < server.limits().maxRequests()
+                && heldBytes() < server.limits().maxConnectionBytes()
+                && server.mayReadAhead();
     }
 
-    /** Closes the connection without a response. */
-    void abort() {
-        currentRequest = null;
-        channel.close();
+    /** Stops reading while the limits hold bytes back. Reads otherwise, also to notice that the caller has left. */
+    private void updateReading() {
+        syntax.resume();
+        boolean pause = syntax.heldBytes() > 0 && !mayReadRequest();
+        if (pause != paused) {
+            paused = pause;
+            channel.config().setAutoRead(!pause);
+            lastActiveNanos = System.nanoTime();
+        }
     }
 
-    private void readPipelined() {
-        while (!responding && !pipelinedMessages.isEmpty()) {
-            Object next = pipelinedMessages.pollFirst();
-            try {
-                read(next);
-            } finally {
-                ReferenceCountUtil.release(next);
-            }
+    /** Returns the bytes of requests and responses that are held for the connection. */
+    long heldBytes() {
+        long bytes = writingBytes + syntax.heldBytes();
+        for (CallerExchange exchange : exchanges) {
+            bytes += exchange.heldBytes();
         }
+        return bytes;
     }
 
     /** Returns whether a request is being read or processed, or its response is being written. */
     boolean isBusy() {
-        return responding || head != null || writing > 0;
+        return !exchanges.isEmpty() || head != null || writing > 0 || (readingEnded && channel.isActive());
     }
 
     void closeIfIdle() {
@@ -241,17 +342,20 @@
     /** Closes the connection if it was idle for too long, and refuses a request that does not arrive in time. */
     void sweep(long nowNanos) {
         long sinceActive = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastActiveNanos);
-        if (responding || writing > 0) {
+        long idleTimeout = server.callerLimits().idleTimeoutMillis();
+        if (slowReaderCheck.isStuck(channel, nowNanos, idleTimeout)) {
+            server.readerStuck(channel.remoteAddress(), heldBytes());
+            channel.close();
+        }
+        if (!exchanges.isEmpty() || writing > 0 || readingEnded) {
             return;
         }
-        if (head != null || readingHead) {
-            long limit = head != null
-                    ? server.limits().idleTimeoutMillis()
-                    : server.limits().headerTimeoutMillis();
+        if (head != null || !syntax.isBetweenMessages()) {
+            long limit = head != null ? idleTimeout : server.callerLimits().headerTimeoutMillis();
             if (sinceActive > limit) {
                 refuse(ResultCode.BAD_REQUEST, REQUEST_TIMEOUT_STATUS);
             }
-        } else if (sinceActive > server.limits().idleTimeoutMillis()) {
+        } else if (sinceActive > idleTimeout) {
             channel.close();
         }
     }
@@ -259,15 +363,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.closed(this);
-        pipelinedMessages.forEach(ReferenceCountUtil::release);
-        pipelinedMessages.clear();
-        releaseBody();
-        CallerRequest openRequest = currentRequest;
-        currentRequest = null;
-        responding = false;
-        if (openRequest != null) {
-            openRequest.callerDisconnected();
-        }
+        endReading();
     }
 
     @Override
@@ -283,17 +379,21 @@
         }
     }
 
-    /** Records when bytes arrive, before they are decoded. */
+    /** Records when bytes arrive, before they are decoded, and drops those behind the last request. */
     private final class ActivityTracker extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            if (!isBusy() && !readingHead) {
-                readingHead = true;
-                lastActiveNanos = System.nanoTime();
-            } else if (head != null) {
-                lastActiveNanos = System.nanoTime();
+            if (readingEnded) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
+            lastReadNanos = System.nanoTime();
+            if (head != null || syntax.isBetweenMessages()) {
+                lastActiveNanos = lastReadNanos;
             }
             context.fireChannelRead(message);
+            reportHeld();
+            updateReading();
         }
     }
 }
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -61,7 +61,7 @@
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, MISDIRECTED_STATUS, 429, 503);
 
     private final Forwarder forwarder;
-    private final CallerConnection caller;
+    private final CallerExchange caller;
     private final HttpRequest head;
     private final BodyBuffer body;
     private final long arrivedNanos;
@@ -83,7 +83,7 @@
     private OutboundConnection inFlightConnection;
     private EndpointStatus inFlightEndpoint;
 
-    CallerRequest(Forwarder forwarder, CallerConnection caller, HttpRequest head, BodyBuffer body, long arrivedNanos) {
+    CallerRequest(Forwarder forwarder, CallerExchange caller, HttpRequest head, BodyBuffer body, long arrivedNanos) {
         this.forwarder = forwarder;
         this.caller = caller;
         this.head = head;
--- a/host/src/main/java/io/carawaylift/host/CallerServer.java
+++ b/host/src/main/java/io/carawaylift/host/CallerServer.java
@@ -2,7 +2,6 @@
 
 import io.carawaylift.decisions.route.CallerLimits;
 import io.carawaylift.host.http.InvalidMessage;
-import io.carawaylift.host.http.SyntaxHandler;
 import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.ResultCode;
 import io.netty.bootstrap.ServerBootstrap;
@@ -29,25 +28,30 @@
     private static final int MAX_REQUEST_LINE_BYTES = 8192;
 
     private final HostLoop loop;
-    private final Supplier<CallerLimits> limits;
+    private final Supplier<CallerLimits> callerLimits;
+    private final HostOptions.PipelineLimits limits;
     private final BufferBudget requestBudget;
-    private final InvalidMessages invalidMessages;
-    private final CallerConnection.Handler handler;
+    private final PeerFaults peerFaults;
+    private final CallerHandler handler;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listening;
     private boolean stopping;
+    private int pipelinedRequests;
+    private long heldBytes;
 
     /** Creates a server; {@code requestBudget} bounds the bodies of all requests together. */
     CallerServer(
             HostLoop loop,
-            Supplier<CallerLimits> limits,
+            Supplier<CallerLimits> callerLimits,
+            HostOptions.PipelineLimits limits,
             BufferBudget requestBudget,
-            InvalidMessages invalidMessages,
-            CallerConnection.Handler handler) {
+            PeerFaults peerFaults,
+            CallerHandler handler) {
         this.loop = loop;
         this.requestBudget = requestBudget;
+        this.callerLimits = callerLimits;
         this.limits = limits;
-        this.invalidMessages = invalidMessages;
+        this.peerFaults = peerFaults;
         this.handler = handler;
     }
 
@@ -81,14 +85,10 @@
     private void configure(Channel channel) {
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.get().maxHeaderBytes());
+                .setMaxHeaderSize(callerLimits.get().maxHeaderBytes());
         CallerConnection connection = new CallerConnection(this, handler);
         channel.pipeline()
-                .addLast(
-                        new HttpResponseEncoder(),
-                        SyntaxHandler.forRequests(),
-                        new HttpRequestDecoder(config),
-                        connection);
+                .addLast(new HttpResponseEncoder(), connection.syntax(), new HttpRequestDecoder(config), connection);
     }
 
     void opened(CallerConnection connection) {
@@ -112,11 +112,46 @@
 
     /** Logs an invalid request. */
     void requestInvalid(SocketAddress peer, InvalidMessage message) {
-        invalidMessages.add("caller", peer, message);
+        peerFaults.invalid("caller", peer, message);
     }
 
-    CallerLimits limits() {
-        return limits.get();
+    /** Logs that a connection is closed because its caller does not read. */
+    void readerStuck(SocketAddress peer, long heldBytes) {
+        peerFaults.unread(peer, heldBytes);
+    }
+
+    CallerLimits callerLimits() {
+        return callerLimits.get();
+    }
+
+    HostOptions.PipelineLimits limits() {
+        return limits;
+    }
+
+    /** Changes the totals of all connections. */
+    void heldChanged(int requests, long bytes) {
+        pipelinedRequests += requests;
+        heldBytes += bytes;
+    }
+
+    /** Returns whether a connection may read a request while it has others in progress. */
+    boolean mayReadAhead() {
+        return pipelinedRequests < limits.maxTotalRequests() && heldBytes < limits.maxTotalBytes();
+    }
+
+    /** Returns the requests that are read and whose responses are not written. */
+    int pipelinedRequests() {
+        return pipelinedRequests;
+    }
+
+    /** Returns the bytes of requests and responses that are held for all connections. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
+    /** Returns the bytes of requests and responses that are held for the connection with the most. */
+    long maxHeldBytes() {
+        return connections.stream().mapToLong(CallerConnection::heldBytes).max().orElse(0);
     }
 
     /** Returns whether each response closes its connection, so that callers connect to another host. */
--- a/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
+++ b/host/src/main/java/io/carawaylift/host/EndpointConnectionPool.java
@@ -19,7 +19,7 @@
     private final HostMetrics metrics;
     private final HostOptions.BufferLimits limits;
     private final BufferBudget budget;
-    private final InvalidMessages invalidMessages;
+    private final PeerFaults peerFaults;
     private final Map<EndpointStatus, Deque<OutboundConnection>> idle = new HashMap<>();
     private final Map<EndpointStatus, BufferBudget> budgets = new HashMap<>();
 
@@ -29,12 +29,12 @@
             HostMetrics metrics,
             HostOptions.BufferLimits limits,
             BufferBudget budget,
-            InvalidMessages invalidMessages) {
+            PeerFaults peerFaults) {
         this.loop = loop;
         this.metrics = metrics;
         this.limits = limits;
         this.budget = budget;
-        this.invalidMessages = invalidMessages;
+        this.peerFaults = peerFaults;
     }
 
     /** Passes an idle or a new connection to {@code result}, or null and the reason if connecting failed. */
@@ -53,7 +53,7 @@
         OutboundConnection.open(loop.netty(), address, CONNECT_TIMEOUT_MILLIS, responses, (connection, reason) -> {
             if (connection != null) {
                 connection.onClose(() -> remove(endpoint, connection));
-                connection.onInvalid(message -> invalidMessages.add("endpoint", connection.peer(), message));
+                connection.onInvalid(message -> peerFaults.invalid("endpoint", connection.peer(), message));
             }
             result.accept(connection, reason);
         });
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -16,6 +16,7 @@
 import io.carawaylift.decisions.route.ServiceRotation;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.peer.Message;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -27,7 +28,7 @@
 import java.util.TreeMap;
 
 /** Starts the processing of callers' requests and holds the state that they share. Used on the event loop only. */
-final class Forwarder implements CallerConnection.Handler {
+final class Forwarder implements CallerHandler {
     /** Fraction of a region's slots up to which requests stay in the region until the first plan. */
     private static final double INITIAL_LOCAL_UTILIZATION = 0.65;
 
@@ -84,13 +85,21 @@
     }
 
     @Override
-    public CallerRequest handle(CallerConnection caller, HttpRequest head, BodyBuffer body, long arrivedNanos) {
+    public CallerRequest handle(CallerExchange caller, HttpRequest head, BodyBuffer body, long arrivedNanos) {
         CallerRequest request = new CallerRequest(this, caller, head, body, arrivedNanos);
         openRequests++;
         request.start();
         return request;
     }
 
+    @Override
+    public boolean isConcurrent(HttpRequest head) {
+        return usableTable()
+                .flatMap(table -> table.match(head.headers().get(HttpHeaderNames.HOST, ""), head.uri()))
+                .map(route -> route.kind().idempotent())
+                .orElse(false);
+    }
+
     @Override
     public void refused(HttpRequest head, ResultCode code, int status) {
         metrics.count("carawaylift.requests", "code", code.name(), "route", "");
--- a/host/src/main/java/io/carawaylift/host/HostOptions.java
+++ b/host/src/main/java/io/carawaylift/host/HostOptions.java
@@ -20,6 +20,7 @@
  * @param limits limits that operators set for all hosts together
  * @param bounds times and quotas within which all hosts must act
  * @param buffers bounds of what the host holds in memory
+ * @param pipelines bounds of what the host holds for callers that send requests before they have read the responses
  */
 record HostOptions(
         HostSettings host,
@@ -33,7 +34,8 @@
         double cores,
         SharedLimits limits,
         Bounds bounds,
-        BufferLimits buffers) {
+        BufferLimits buffers,
+        PipelineLimits pipelines) {
     private static final double MAX_CORES = 1024;
     private static final double MIN_SECONDS = 0.1;
     private static final double MAX_SECONDS = 600;
@@ -48,6 +50,11 @@
     /** A growing buffer takes up to twice its bytes, and the program has 96 MiB for buffers. */
     private static final int DEFAULT_TOTAL_BYTES = 32 * 1024 * 1024;
 
+    private static final int DEFAULT_CONNECTION_BYTES = 1024 * 1024;
+    private static final int DEFAULT_PIPELINED_BYTES = 16 * 1024 * 1024;
+    private static final int MAX_PIPELINED_REQUESTS = 1024;
+    private static final int MAX_TOTAL_PIPELINED_REQUESTS = 1_000_000;
+
     /**
      * Limits that the platform's operators set.
      *
@@ -95,6 +102,22 @@
      */
     record BufferLimits(long maxResponseBytes, long maxEndpointBytes, long maxTotalBytes) {}
 
+    /**
+     * Bounds of the requests that callers send before they have the responses to earlier ones.
+     *
+     * @param maxRequests requests of a connection that are read and whose responses are not written
+     * @param maxConcurrentRequests requests of a connection that run at once, if all are idempotent
+     * @param maxConnectionBytes bytes held for a connection above which it runs and reads nothing more
+     * @param maxTotalRequests requests of all connections above which each connection has only one
+     * @param maxTotalBytes bytes held for all connections above which each connection has only one request
+     */
+    record PipelineLimits(
+            int maxRequests,
+            int maxConcurrentRequests,
+            long maxConnectionBytes,
+            int maxTotalRequests,
+            long maxTotalBytes) {}
+
     static HostOptions of(Settings settings) {
         return new HostOptions(
                 HostSettings.of(settings),
@@ -117,7 +140,13 @@
                 new BufferLimits(
                         bytes(settings, "buffers.max_response_bytes", DEFAULT_RESPONSE_BYTES),
                         bytes(settings, "buffers.max_endpoint_bytes", DEFAULT_ENDPOINT_BYTES),
-                        bytes(settings, "buffers.max_total_bytes", DEFAULT_TOTAL_BYTES)));
+                        bytes(settings, "buffers.max_total_bytes", DEFAULT_TOTAL_BYTES)),
+                new PipelineLimits(
+                        settings.integer("pipelines.max_requests", 16, 1, MAX_PIPELINED_REQUESTS),
+                        settings.integer("pipelines.max_concurrent_requests", 4, 1, MAX_PIPELINED_REQUESTS),
+                        bytes(settings, "pipelines.max_connection_bytes", DEFAULT_CONNECTION_BYTES),
+                        settings.integer("pipelines.max_total_requests", 2048, 1, MAX_TOTAL_PIPELINED_REQUESTS),
+                        bytes(settings, "pipelines.max_total_bytes", DEFAULT_PIPELINED_BYTES)));
     }
 
     private static Bounds bounds(Settings settings) {
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -41,7 +41,7 @@
     private final HostMetrics metrics = new HostMetrics();
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("host", true), NioIoHandler.newFactory());
-    private final InvalidMessages invalidMessages;
+    private final PeerFaults peerFaults;
     private final HostLoop loop;
     private final EndpointRegistry registry = new EndpointRegistry();
     private final ObjectStoreClient store;
@@ -62,23 +62,26 @@
         this.options = options;
         this.settings = settings;
         this.log = log;
-        this.invalidMessages = new InvalidMessages(log, metrics);
+        this.peerFaults = new PeerFaults(log, metrics);
         this.loop = new HostLoop(group.next(), log);
         this.store = new ObjectStoreClient(
-                new StoreConnections(loop, options.store(), metrics, invalidMessages), STORE_CALL_TIMEOUT);
+                new StoreConnections(loop, options.store(), metrics, peerFaults), STORE_CALL_TIMEOUT);
         StoreRetries retries = new StoreRetries(loop);
         this.relay = new StoreRelay(StoreKinds.ENDPOINTS);
         this.storeView = new StoreView(registry, store, retries, relay, loop, log, options.regionsByZone());
         this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report);
         BufferBudget buffers = new BufferBudget(options.buffers().maxTotalBytes());
-        this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers, invalidMessages);
+        this.pool = new EndpointConnectionPool(loop, metrics, options.buffers(), buffers, peerFaults);
         this.forwarder = new Forwarder(options, loop, log, metrics, storeView, registry, pool, membership);
-        this.callers = new CallerServer(loop, this::callerLimits, buffers, invalidMessages, forwarder);
+        this.callers = new CallerServer(loop, this::callerLimits, options.pipelines(), buffers, peerFaults, forwarder);
         this.lookups = new Lookups(this::report, membership::liveHosts);
         storeView.onUnusable(forwarder::closeIdleConnections);
         storeView.onChange(forwarder::sendQueuedRequests);
         metrics.gauge("carawaylift.requests.open", forwarder::openRequests);
         metrics.gauge("carawaylift.callers.connections", callers::openConnections);
+        metrics.gauge("carawaylift.callers.requests", callers::pipelinedRequests);
+        metrics.gauge("carawaylift.callers.held.bytes", callers::heldBytes);
+        metrics.gauge("carawaylift.callers.held.bytes.max", callers::maxHeldBytes);
         metrics.gauge("carawaylift.endpoints", () -> registry.all().size());
         metrics.gauge("carawaylift.endpoints.ignored", storeView::ignoredEntries);
         metrics.gauge("carawaylift.store.relay", () -> relay.isRelay() ? 1 : 0);
@@ -99,9 +102,9 @@
     @Override
     public void start() {
         callerAddress = callers.start(options.callers());
-        readinessAddress = new PageServer(loop, invalidMessages, lookups::readiness).start(options.readiness());
-        lookupAddress = new PageServer(loop, invalidMessages, lookups::lookup).start(options.lookups());
-        new PageServer(loop, invalidMessages, this::metricsPage)
+        readinessAddress = new PageServer(loop, peerFaults, lookups::readiness).start(options.readiness());
+        lookupAddress = new PageServer(loop, peerFaults, lookups::lookup).start(options.lookups());
+        new PageServer(loop, peerFaults, this::metricsPage)
                 .start(new InetSocketAddress(options.host().address(), options.metricsPort()));
         loop.runAndWait(() -> {
             storeView.start();
--- a/host/src/main/java/io/carawaylift/host/PageServer.java
+++ b/host/src/main/java/io/carawaylift/host/PageServer.java
@@ -38,7 +38,7 @@
     private static final int IDLE_TIMEOUT_SECONDS = 15;
 
     private final HostLoop loop;
-    private final InvalidMessages invalidMessages;
+    private final PeerFaults peerFaults;
     private final Function<String, Page> pages;
 
     /** A response with its status, content type and body. */
@@ -50,9 +50,9 @@
     /**
      * Creates a server. {@code pages} maps a request target in origin form to a page; it is called on the event loop.
      */
-    PageServer(HostLoop loop, InvalidMessages invalidMessages, Function<String, Page> pages) {
+    PageServer(HostLoop loop, PeerFaults peerFaults, Function<String, Page> pages) {
         this.loop = loop;
-        this.invalidMessages = invalidMessages;
+        this.peerFaults = peerFaults;
         this.pages = pages;
     }
 
@@ -70,13 +70,14 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        SyntaxHandler syntax = SyntaxHandler.forRequests(channel::isWritable);
                         channel.pipeline()
                                 .addLast(
                                         new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS),
-                                        SyntaxHandler.forRequests(),
+                                        syntax,
                                         new HttpServerCodec(),
                                         new HttpObjectAggregator(MAX_BODY_BYTES),
-                                        new PageHandler());
+                                        new PageHandler(syntax));
                     }
                 })
                 .bind(address)
@@ -88,8 +89,13 @@
     }
 
     private final class PageHandler extends ChannelInboundHandlerAdapter {
+        private final SyntaxHandler syntax;
         private boolean closing;
 
+        PageHandler(SyntaxHandler syntax) {
+            this.syntax = syntax;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             try {
@@ -116,7 +122,7 @@
         }
 
         private void refuse(ChannelHandlerContext context, InvalidMessage invalid) {
-            invalidMessages.add("page", context.channel().remoteAddress(), invalid);
+            peerFaults.invalid("page", context.channel().remoteAddress(), invalid);
             respond(context, Page.BAD_REQUEST, false);
         }
 
@@ -141,6 +147,7 @@
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext context) {
             context.channel().config().setAutoRead(context.channel().isWritable());
+            syntax.resume();
         }
 
         @Override
--- a/host/src/main/java/io/carawaylift/host/StoreConnections.java
+++ b/host/src/main/java/io/carawaylift/host/StoreConnections.java
@@ -33,14 +33,14 @@
     private final HostLoop loop;
     private final InetSocketAddress address;
     private final HostMetrics metrics;
-    private final InvalidMessages invalidMessages;
+    private final PeerFaults peerFaults;
     private final Deque<OutboundConnection> idle = new ArrayDeque<>();
 
-    StoreConnections(HostLoop loop, InetSocketAddress address, HostMetrics metrics, InvalidMessages invalidMessages) {
+    StoreConnections(HostLoop loop, InetSocketAddress address, HostMetrics metrics, PeerFaults peerFaults) {
         this.loop = loop;
         this.address = address;
         this.metrics = metrics;
-        this.invalidMessages = invalidMessages;
+        this.peerFaults = peerFaults;
     }
 
     @Override
@@ -55,7 +55,7 @@
                 if (opened == null) {
                     result.completeExceptionally(new IOException("no connection to the store: " + reason));
                 } else {
-                    opened.onInvalid(message -> invalidMessages.add("store", opened.peer(), message));
+                    opened.onInvalid(message -> peerFaults.invalid("store", opened.peer(), message));
                     send(opened, request(method, target, body), timeout, result);
                 }
             });
--- a/host/src/main/java/io/carawaylift/host/http/MessageSyntax.java
+++ b/host/src/main/java/io/carawaylift/host/http/MessageSyntax.java
@@ -63,12 +63,23 @@
         return invalid;
     }
 
-    /** Returns how many of the readable bytes precede the first violation, all if there is none. */
-    int validBytes(ByteBuf bytes) {
+    /** Returns whether the bytes so far end with a complete message. */
+    boolean isBetweenMessages() {
+        return part == Part.START_LINE && line.size() == 0 && !carriageReturn;
+    }
+
+    /**
+     * Follows the readable bytes up to the end of a message, the first violation or their end, whichever comes first, and
+     * returns their number.
+     */
+    int nextPart(ByteBuf bytes) {
         int start = bytes.readerIndex();
         int index = start;
         try {
             while (index < bytes.writerIndex() && part != Part.BODY_UNTIL_CLOSE) {
+                if (index > start && isBetweenMessages()) {
+                    return index - start;
+                }
                 if (part == Part.BODY || part == Part.CHUNK_DATA) {
                     long skipped = Math.min(remainingBytes, bytes.writerIndex() - index);
                     index += (int) skipped;
--- a/host/src/test/java/io/carawaylift/host/StopUnderLoadTest.java
+++ b/host/src/test/java/io/carawaylift/host/StopUnderLoadTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -119,4 +120,46 @@
             }
         }
     }
+
+    private static String request(String method, String target, String id) {
+        return method + " " + target + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id + "\r\n\r\n";
+    }
+
+    private static void assertClosedAfter(RawCaller caller, String... ids) throws IOException {
+        for (int i = 0; i < ids.length; i++) {
+            RawCaller.Response response = caller.read();
+            assertThat(response.body()).isEqualTo("body of " + ids[i]);
+            assertThat(response.header("Connection")).isEqualTo(i == ids.length - 1 ? "close" : null);
+        }
+        assertThat(caller.closesWithoutData()).isTrue();
+    }
+
+    /** Guards against a request that runs behind the last response of a stopping host. */
+    @Test
+    void aStoppingHostRunsNothingBehindTheRequestInProgress() throws Exception {
+        CountDownLatch slowMayEnd = new CountDownLatch(1);
+        endpoint.script((request, connection) -> {
+            slowMayEnd.await();
+            ScriptedEndpoint.respondOk(request, connection);
+        });
+        try (RawCaller caller = fixture.caller();
+                RawCaller beside = fixture.caller()) {
+            caller.sendRaw(request("POST", "/unsafe/1", "slow-1") + request("POST", "/unsafe/1", "behind-1"));
+            beside.sendRaw(request("GET", "/safe/1", "slow-2") + request("GET", "/safe/1", "slow-3"));
+            HostFixture.await(() -> endpoint.requests().size() == 3);
+            CompletableFuture<Void> stop = CompletableFuture.runAsync(fixture::stopHost);
+            fixture.awaitLine("\"event\":\"stopping\"");
+            Thread.sleep(100);
+            caller.sendRaw(request("POST", "/unsafe/1", "behind-2"));
+            beside.sendRaw(request("GET", "/safe/1", "behind-3"));
+            Thread.sleep(300);
+            slowMayEnd.countDown();
+            caller.sendRaw(request("POST", "/unsafe/1", "behind-4"));
+
+            assertClosedAfter(caller, "slow-1");
+            assertClosedAfter(beside, "slow-2", "slow-3");
+            stop.join();
+        }
+        assertThat(endpoint.requests()).hasSize(3);
+    }
 }
