Collect lines of heads in a plain array

Change: MessageSyntax keeps the line in a byte array.

InvalidResponseTest (128), InvalidRequestTest (4), StoreConnectionsTest (2), EarlyResponseTest (1), OutboundConnectionTest (3), IncompleteResponseTest (7) and PipelinedRequestsTest (13) pass.

--- a/host/src/main/java/io/carawaylift/host/http/MessageSyntax.java
+++ b/host/src/main/java/io/carawaylift/host/http/MessageSyntax.java
@@ -1,8 +1,8 @@
 package io.carawaylift.host.http;
 
 import io.netty.buffer.ByteBuf;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -17,6 +17,7 @@
     /** Bytes of a line whose buffer an idle connection keeps. */
     private static final int MAX_KEPT_LINE_BYTES = 1024;
 
+    private static final int INITIAL_LINE_BYTES = 128;
     private static final int HEX_RADIX = 16;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int NO_CONTENT_STATUS = 204;
@@ -36,7 +37,8 @@
 
     private final boolean requests;
     private final BooleanSupplier headRequest;
-    private ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private byte[] line = new byte[INITIAL_LINE_BYTES];
+    private int lineLength;
     private Part part = Part.START_LINE;
     private boolean carriageReturn;
     private int status;
@@ -65,7 +67,7 @@
 
     /** Returns whether the bytes so far end with a complete message. */
     boolean isBetweenMessages() {
-        return part == Part.START_LINE && line.size() == 0 && !carriageReturn;
+        return part == Part.START_LINE && lineLength == 0 && !carriageReturn;
     }
 
     /**
@@ -106,23 +108,26 @@
         }
         if (next == '\n') {
             carriageReturn = false;
-            String text = line.toString(StandardCharsets.ISO_8859_1);
-            if (line.size() > MAX_KEPT_LINE_BYTES) {
-                line = new ByteArrayOutputStream();
+            String text = new String(line, 0, lineLength, StandardCharsets.ISO_8859_1);
+            if (line.length > MAX_KEPT_LINE_BYTES) {
+                line = new byte[INITIAL_LINE_BYTES];
             }
-            line.reset();
+            lineLength = 0;
             lineEnded(text);
         } else if (next == '\r') {
             carriageReturn = true;
         } else if ((next < ' ' && next != '\t') || next == DELETE) {
             throw new InvalidMessageException(
-                    String.format("byte 0x%02x at position %d of %s", next, line.size(), describe()),
+                    String.format("byte 0x%02x at position %d of %s", next, lineLength, describe()),
                     "no control character");
-        } else if (line.size() >= MAX_LINE_BYTES) {
+        } else if (lineLength >= MAX_LINE_BYTES) {
             throw new InvalidMessageException(
                     describe() + " of more than " + MAX_LINE_BYTES + " bytes", "a shorter one");
         } else {
-            line.write(next);
+            if (lineLength == line.length) {
+                line = Arrays.copyOf(line, 2 * lineLength);
+            }
+            line[lineLength++] = (byte) next;
         }
     }
 
