--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -45,7 +45,7 @@
     private final HostMetrics metrics = new HostMetrics();
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("host", true), NioIoHandler.newFactory());
-    private final InvalidMessages invalidMessages;
+    private final PeerFaults peerFaults;
     private final HostLoop loop;
     private final EndpointRegistry registry = new EndpointRegistry();
     private final ObjectStoreClient store;
@@ -68,10 +68,10 @@
         this.options = options;
         this.settings = settings;
         this.log = log;
-        this.invalidMessages = new InvalidMessages(log, metrics);
+        this.peerFaults = new PeerFaults(log, metrics);
         this.loop = new HostLoop(group.next(), log);
         this.store = new ObjectStoreClient(
-                new StoreConnections(loop, options.store(), metrics, invalidMessages), STORE_CALL_TIMEOUT);
+                new StoreConnections(loop, options.store(), metrics, peerFaults), STORE_CALL_TIMEOUT);
         StoreRetries retries = new StoreRetries(loop);
         this.relay = new StoreRelay(CurrencyTimes.of(options.bounds().stabilityWindow()));
         this.storeView = new StoreView(registry, store, retries, relay, loop, log, options.regionsByZone());
@@ -87,8 +87,8 @@
                 .build();
         this.membership = new HostMembership(options, store, retries, relay, loop, log, this::report, quotas);
         BufferBudget buffers = new BufferBudget(options.buffers().maxTotalBytes());
-        this.pool = new EndpointConnectionPool(
-                loop, metrics, options.buffers(), buffers, registry::isUsable, invalidMessages);
+        this.pool =
+                new EndpointConnectionPool(loop, metrics, options.buffers(), buffers, registry::isUsable, peerFaults);
         this.freshness = new ConfigurationFreshness(
                 options.bounds().revocationDelay().toMillis(),
                 ClockReading::now,
@@ -108,13 +108,16 @@
                 membership,
                 quotas,
                 new RequestAccess.Source(storeView::customers, freshness));
-        this.callers = new CallerServer(loop, this::callerLimits, buffers, invalidMessages, forwarder);
+        this.callers = new CallerServer(loop, this::callerLimits, options.pipelines(), buffers, peerFaults, forwarder);
         this.lookups = new Lookups(this::report, membership::liveHosts);
         membership.onEndpointLeaving(forwarder.pushBack()::leavingReported);
         storeView.onUnusable(forwarder::closeIdleConnections);
         storeView.onChange(forwarder::sendQueuedRequests);
         metrics.gauge("carawaylift.requests.open", forwarder::openRequests);
         metrics.gauge("carawaylift.callers.connections", callers::openConnections);
+        metrics.gauge("carawaylift.callers.requests", callers::pipelinedRequests);
+        metrics.gauge("carawaylift.callers.held.bytes", callers::heldBytes);
+        metrics.gauge("carawaylift.callers.held.bytes.max", callers::maxHeldBytes);
         metrics.gauge("carawaylift.endpoints", () -> registry.all().size());
         metrics.gauge("carawaylift.endpoints.ignored", storeView::ignoredEntries);
         metrics.gauge("carawaylift.store.relay", () -> relay.isRelay() ? 1 : 0);
@@ -144,9 +147,9 @@
     @Override
     public void start() {
         callerAddress = callers.start(options.callers());
-        readinessAddress = new PageServer(loop, invalidMessages, lookups::readiness).start(options.readiness());
-        lookupAddress = new PageServer(loop, invalidMessages, lookups::lookup).start(options.lookups());
-        new PageServer(loop, invalidMessages, this::metricsPage)
+        readinessAddress = new PageServer(loop, peerFaults, lookups::readiness).start(options.readiness());
+        lookupAddress = new PageServer(loop, peerFaults, lookups::lookup).start(options.lookups());
+        new PageServer(loop, peerFaults, this::metricsPage)
                 .start(new InetSocketAddress(options.host().address(), options.metricsPort()));
         loop.runAndWait(() -> {
             storeView.start();
