Keep objects at their endpoints in overload and take no late places

In queues of endpoints late work displaced requests that could still be in time.

The mean is assumed only for requests without an object. In overload, and without an object, no place in a queue is taken for a late response.

--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/AdmissionLimits.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/AdmissionLimits.java
@@ -23,10 +23,7 @@
     /** Fraction of the timeout within which the response must be expected once the target latency cannot be met. */
     private static final double LATE_RESPONSE_FRACTION = 0.45;
 
-    /**
-     * Multiple of the expected processing time within which the response must be expected in overload, for routes whose
-     * target is below their processing time.
-     */
+    /** Multiple of the expected processing time that is left when a waiting request is refused in overload. */
     private static final double PROCESSING_ALLOWANCE = 1.2;
 
     private AdmissionLimits() {}
@@ -51,14 +48,19 @@
         return Math.max(targetWaitMillis(request) + 1, (long) patient);
     }
 
-    /** Returns the latency from the arrival within which the response must be expected now. */
-    static double maxLatencyMillis(DispatchRequest request, ProcessingTimes times, boolean overload, long nowNanos) {
+    /**
+     * Returns the latency from the arrival within which the response must be expected now, unless a slot is free. In
+     * overload, and where no endpoint is preferred, a place in an endpoint's queue is not taken for a late response: the
+     * queues would fill with late work, and hardly any request would be in time.
+     */
+    static double maxLatencyMillis(DispatchRequest request, boolean overload, long nowNanos) {
         boolean acceptsLate = request.waitedNanos(nowNanos) >= TimeUnit.MILLISECONDS.toNanos(targetWaitMillis(request));
         if (!acceptsLate) {
             return (double) request.targetMillis();
         }
-        double late = LATE_RESPONSE_FRACTION * request.timeoutMillis();
-        double latest = overload ? Math.min(late, PROCESSING_ALLOWANCE * times.expectedMillis(false)) : late;
-        return Math.max((double) request.targetMillis(), latest);
+        if (overload || request.object().isEmpty()) {
+            return (double) request.targetMillis();
+        }
+        return Math.max((double) request.targetMillis(), LATE_RESPONSE_FRACTION * request.timeoutMillis());
     }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
@@ -215,7 +215,7 @@
     private boolean isExpectedInTime(DispatchRequest request, Choice choice, long nowNanos) {
         return choice.slotFree()
                 || expectedLatencyMillis(request, choice, nowNanos)
-                        <= AdmissionLimits.maxLatencyMillis(request, times(request), shares.isOverloaded(), nowNanos);
+                        <= AdmissionLimits.maxLatencyMillis(request, shares.isOverloaded(), nowNanos);
     }
 
     private double expectedLatencyMillis(DispatchRequest request, Choice choice, long nowNanos) {
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointRegistry.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointRegistry.java
@@ -42,9 +42,17 @@
 
     private Set<String> evacuatedZones = Set.of();
     private long changeCount;
+    private final boolean fixedPace;
 
     /** Creates a registry without endpoints. */
-    public EndpointRegistry() {}
+    public EndpointRegistry() {
+        this(false);
+    }
+
+    /** Creates a registry without endpoints; a fixed pace ignores how cold endpoints respond, for comparison. */
+    public EndpointRegistry(boolean fixedPace) {
+        this.fixedPace = fixedPace;
+    }
 
     /** Adds an endpoint or updates it to a newer entry. */
     public void put(EndpointEntry entry, long nowNanos) {
@@ -53,7 +61,7 @@
             changeCount++;
         }
         if (status == null) {
-            status = new EndpointStatus(entry, nowNanos);
+            status = new EndpointStatus(entry, fixedPace, nowNanos);
             endpoints.put(entry.id(), status);
         } else {
             if (!status.entry().service().equals(entry.service())) {
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -64,7 +64,7 @@
         }
     };
 
-    EndpointStatus(EndpointEntry entry, long nowNanos) {
+    EndpointStatus(EndpointEntry entry, boolean fixedPace, long nowNanos) {
         this.entry = entry;
         this.loadReportedNanos = nowNanos;
         this.speedReportedNanos = nowNanos;
@@ -72,7 +72,7 @@
         this.outcomeNanos = nowNanos;
         this.silencedUntilNanos = nowNanos;
         this.reserveRank = Rendezvous.fraction(entry.id(), "reserve");
-        this.pace = new EndpointPace(nowNanos);
+        this.pace = new EndpointPace(nowNanos, fixedPace);
         setCold(entry.remainingColdMillis(), nowNanos);
     }
 
@@ -235,25 +235,23 @@
         return Math.max(0.5, learned);
     }
 
-    /**
-     * Returns the estimated number of requests of all hosts at the endpoint. Without a recent report of its own, only this
-     * host's requests count, unless the endpoints of the service in the region are busy on average: then it is assumed
-     * to be busy too, so that those that reported a free slot are told from those that reported nothing.
-     */
+    /** Returns the estimated number of requests of all hosts at the endpoint, from its own reports only. */
     public double load(long nowNanos) {
-        return group.perSlot(nowNanos) >= 1
-                ? loadOrMean(nowNanos)
-                : inFlight + otherHostsLoad * Decay.remaining(nowNanos - loadReportedNanos, LOAD_HALF_LIFE_NANOS);
+        return inFlight + otherHostsLoad * Decay.remaining(nowNanos - loadReportedNanos, LOAD_HALF_LIFE_NANOS);
     }
 
     /**
-     * Returns the estimated number of requests of all hosts at the endpoint; without a recent report the mean of the
-     * endpoints of the service in the region is assumed.
+     * Returns the estimated number of requests of all hosts at the endpoint; without a recent report it is assumed to be
+     * as busy as the endpoints of the service in the region are on average, if these have no free slot. For requests that
+     * prefer no endpoint only: objects would leave the endpoints that cache them, and make all of them slower.
      */
     double loadOrMean(long nowNanos) {
+        double perSlot = group.perSlot(nowNanos);
+        if (perSlot < 1) {
+            return load(nowNanos);
+        }
         double known = Decay.remaining(nowNanos - loadReportedNanos, LOAD_HALF_LIFE_NANOS);
-        double assumed = Math.max(0, group.perSlot(nowNanos) * entry.slots() - inFlight);
-        return inFlight + known * otherHostsLoad + (1 - known) * assumed;
+        return inFlight + known * otherHostsLoad + (1 - known) * Math.max(0, perSlot * entry.slots() - inFlight);
     }
 
     /**
--- a/decisions/src/main/java/io/carawaylift/decisions/pace/EndpointPace.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/pace/EndpointPace.java
@@ -42,6 +42,7 @@
 
     private static final long NOT_RAMPING = Long.MIN_VALUE;
 
+    private final boolean fixed;
     private TokenBucket coldBucket;
     private double rateFraction = INITIAL_RATE_FRACTION;
     private double share = 1;
@@ -50,6 +51,12 @@
 
     /** Creates the pace of an endpoint that takes its full share unless it is cold. */
     public EndpointPace(long nowNanos) {
+        this(nowNanos, false);
+    }
+
+    /** Creates a pace; a fixed one stays at the initial rate and has no steps, for comparison. */
+    public EndpointPace(long nowNanos, boolean fixed) {
+        this.fixed = fixed;
         coldBucket = new TokenBucket(COLD_BURST_REQUESTS, nowNanos);
     }
 
@@ -84,6 +91,9 @@
 
     /** Starts to raise the share step by step; a rise in progress starts again. */
     public void startRamp(long nowNanos) {
+        if (fixed) {
+            return;
+        }
         share = INITIAL_SHARE;
         roundStartNanos = nowNanos;
         badInRound = false;
@@ -112,7 +122,7 @@
     public void responded(double relativeMillis, int waiting) {
         if (relativeMillis > SLOW_RATIO || waiting > 0) {
             slowDown(SLOW_FACTOR);
-        } else {
+        } else if (!fixed) {
             rateFraction = Math.min(MAX_RATE_FRACTION, rateFraction + RATE_STEP_FRACTION);
         }
     }
@@ -123,6 +133,9 @@
     }
 
     private void slowDown(double factor) {
+        if (fixed) {
+            return;
+        }
         rateFraction = Math.max(MIN_RATE_FRACTION, factor * rateFraction);
         badInRound = true;
     }
--- a/loadmodel/src/main/java/io/carawaylift/loadmodel/FleetModel.java
+++ b/loadmodel/src/main/java/io/carawaylift/loadmodel/FleetModel.java
@@ -13,11 +13,13 @@
     private final Map<String, String> regionsByZone;
     private final Map<String, Integer> hostsByZone;
     private final List<ServiceModel> services;
+    private final double regionDelayMillis;
 
     private FleetModel(Builder builder) {
         this.regionsByZone = new LinkedHashMap<>(builder.regionsByZone);
         this.hostsByZone = new LinkedHashMap<>(builder.hostsByZone);
         this.services = List.copyOf(builder.services);
+        this.regionDelayMillis = builder.regionDelayMillis;
     }
 
     /** Returns a builder of a fleet without zones and services. */
@@ -45,12 +47,20 @@
         return services;
     }
 
+    /** Returns the service with a name. */
+    ServiceModel service(String name) {
+        return services.stream()
+                .filter(service -> service.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Returns the delay in one direction between two zones in milliseconds. */
     double delayMillis(String from, String to) {
         if (from.equals(to)) {
             return 0;
         }
-        return regionsByZone.get(from).equals(regionsByZone.get(to)) ? ZONE_DELAY_MILLIS : REGION_DELAY_MILLIS;
+        return regionsByZone.get(from).equals(regionsByZone.get(to)) ? ZONE_DELAY_MILLIS : regionDelayMillis;
     }
 
     /** Builds a {@link FleetModel}. */
@@ -59,8 +69,16 @@
         private final Map<String, Integer> hostsByZone = new LinkedHashMap<>();
         private final List<ServiceModel> services = new ArrayList<>();
 
+        private double regionDelayMillis = REGION_DELAY_MILLIS;
+
         private Builder() {}
 
+        /** Sets the delay in one direction between two regions in milliseconds. */
+        public Builder regionDelay(double millis) {
+            regionDelayMillis = millis;
+            return this;
+        }
+
         /** Adds a zone with a number of hosts. */
         public Builder zone(String zone, String region, int hosts) {
             regionsByZone.put(zone, region);
--- a/loadmodel/src/main/java/io/carawaylift/loadmodel/LoadPatterns.java
+++ b/loadmodel/src/main/java/io/carawaylift/loadmodel/LoadPatterns.java
@@ -11,6 +11,8 @@
 public final class LoadPatterns {
     private static final double WAVE_SWING = 0.55;
     private static final double WAVE_SECONDS = 36;
+    private static final String FLAGS = "feature-flags-";
+    private static final String DESKS = "desk-booking-";
     private static final long COLD_MILLIS = 3000;
     private static final int ONE_IN = 6;
 
@@ -134,9 +136,37 @@
                         .at(10, run -> run.evacuate(Set.of("s1")))
                         .at(20, run -> run.evacuate(Set.of()))
                         .build());
+        // Section 8, deployment A: 1.3 times what the endpoints can do without caches, waves that move between zones.
+        patterns.put(
+                FLAGS + "waves",
+                () -> LoadPattern.builder(FLAGS + "waves")
+                        .rate(LoadPatterns::wave)
+                        .build());
+        // Section 8, deployment B: 1.2 times what the endpoints can do; reports must leave room for floor maps.
+        patterns.put(
+                DESKS + "steady", () -> LoadPattern.builder(DESKS + "steady").build());
+        patterns.put(
+                DESKS + "half-load",
+                () -> LoadPattern.builder(DESKS + "half-load")
+                        .rate((zone, service, second) -> 0.5)
+                        .build());
+        // Section 9: a zone of deployment A comes back cold.
+        patterns.put(
+                FLAGS + "zone-back-cold",
+                () -> LoadPattern.builder(FLAGS + "zone-back-cold")
+                        .at(10, run -> run.makeCold(inZone("s1"), COLD_MILLIS))
+                        .build());
         return patterns;
     }
 
+    /** Returns the fleet of a pattern. */
+    public static FleetModel fleet(String pattern, int scale) {
+        if (pattern.startsWith(FLAGS)) {
+            return LoadFleets.featureFlags(scale);
+        }
+        return pattern.startsWith(DESKS) ? LoadFleets.deskBooking(scale) : unequalRegions(scale);
+    }
+
     private static double wave(String zone, String service, double second) {
         double phase =
                 switch (zone.charAt(0)) {
--- a/loadmodel/src/main/java/io/carawaylift/loadmodel/ServiceModel.java
+++ b/loadmodel/src/main/java/io/carawaylift/loadmodel/ServiceModel.java
@@ -21,6 +21,11 @@
     private final int priority;
     private final boolean largeResponse;
     private final boolean repeatable;
+    private final String pool;
+    private final boolean affinity;
+    private final double slowFraction;
+    private final boolean unevenSpeed;
+    private final double coldPerSecond;
 
     private ServiceModel(Builder builder) {
         this.name = Objects.requireNonNull(builder.name, "name");
@@ -38,6 +43,11 @@
         this.priority = builder.priority;
         this.largeResponse = builder.largeResponse;
         this.repeatable = builder.repeatable;
+        this.pool = builder.pool == null ? builder.name : builder.pool;
+        this.affinity = builder.affinity;
+        this.slowFraction = builder.slowFraction;
+        this.unevenSpeed = builder.unevenSpeed;
+        this.coldPerSecond = builder.coldPerSecond;
     }
 
     /** Returns a builder of a service with the given name. */
@@ -49,6 +59,30 @@
         return name;
     }
 
+    /** Returns the name of the kind of requests whose endpoints serve this kind too. */
+    String pool() {
+        return pool;
+    }
+
+    /** Returns whether endpoints that handled the object are preferred. */
+    boolean affinity() {
+        return affinity;
+    }
+
+    /** Returns the fraction of the requests that take seven times as long. */
+    double slowFraction() {
+        return slowFraction;
+    }
+
+    /** Returns whether a seventh of the endpoints is 2.5 times slower at any moment, and reports it. */
+    boolean unevenSpeed() {
+        return unevenSpeed;
+    }
+
+    double coldPerSecond() {
+        return coldPerSecond;
+    }
+
     Map<String, Integer> endpointsByZone() {
         return endpointsByZone;
     }
@@ -123,6 +157,11 @@
         private int priority = 1;
         private boolean largeResponse;
         private boolean repeatable = true;
+        private String pool;
+        private boolean affinity = true;
+        private double slowFraction;
+        private boolean unevenSpeed;
+        private double coldPerSecond = 1;
 
         private Builder(String name) {
             this.name = name;
@@ -191,6 +230,31 @@
             return this;
         }
 
+        /** Lets the endpoints of another kind of requests serve this one. */
+        public Builder sharing(String other) {
+            pool = other;
+            return this;
+        }
+
+        /** Sets that no endpoint is preferred for an object. */
+        public Builder withoutAffinity() {
+            affinity = false;
+            return this;
+        }
+
+        /** Sets the fraction of the requests that take seven times as long, and whether endpoints differ in speed. */
+        public Builder uneven(double slowRequests, boolean speeds) {
+            slowFraction = slowRequests;
+            unevenSpeed = speeds;
+            return this;
+        }
+
+        /** Sets the requests per second that a cold endpoint tolerates. */
+        public Builder coldPerSecond(double rate) {
+            coldPerSecond = rate;
+            return this;
+        }
+
         /** Creates the service. */
         public ServiceModel build() {
             return new ServiceModel(this);
