Try all listed hosts in turn, so that entries of hosts that are gone hide no live host

Cause: RelayOrder.contacts ended after eight hosts, and entries of hosts that are gone are never removed.

Change: RelayContacts remembers which hosts did not respond and tries others, then these in turn, six at once or a sixteenth of the region. A host warms up no cold endpoint while a listed host that may be a relay was not tried. The two tests of RelayOrder.contacts are now those of RelayContacts, with the same bounds. HostEntry takes the decoding out of HostMembership. The removal of the entries from the store is not begun (docs/design/host-entries.md).

--- a/decisions/src/main/java/io/carawaylift/decisions/relay/RelayOrder.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/relay/RelayOrder.java
@@ -4,9 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -18,11 +16,6 @@
     /** Relays of a region; the second takes over without a pause when the first fails. */
     public static final int RELAYS_PER_REGION = 2;
 
-    /**
-     * Bound on the hosts contacted at once, so that a region of unreachable hosts does not cost a connection to each.
-     */
-    private static final int MAX_CONTACTS = 8;
-
     private static final String KEY = "relay";
 
     private RelayOrder() {}
@@ -36,32 +29,6 @@
         return ordered;
     }
 
-    /**
-     * Returns the hosts with which {@code self} keeps in contact: all up to the second live one, so that a host that
-     * becomes reachable again is noticed. The live ones among them are the relays.
-     *
-     * @param ordered hosts of a region in order
-     * @param self this host, which counts as live and is not returned
-     * @param live whether a host has been in contact or has not yet had time to respond
-     */
-    public static Set<String> contacts(List<String> ordered, String self, Predicate<String> live) {
-        Set<String> contacts = new LinkedHashSet<>();
-        int relays = 0;
-        for (String host : ordered) {
-            if (relays == RELAYS_PER_REGION || contacts.size() == MAX_CONTACTS) {
-                break;
-            }
-            boolean isSelf = host.equals(self);
-            if (!isSelf) {
-                contacts.add(host);
-            }
-            if (isSelf || live.test(host)) {
-                relays++;
-            }
-        }
-        return contacts;
-    }
-
     /** Returns whether {@code self} is one of the relays of its region. */
     public static boolean isRelay(List<String> ordered, String self, Predicate<String> live) {
         return liveBefore(ordered, self, live) < RELAYS_PER_REGION;
--- a/decisions/src/test/java/io/carawaylift/decisions/relay/RelayOrderTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/relay/RelayOrderTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
@@ -18,29 +17,6 @@
         assertThat(RelayOrder.of(List.of("f", "e", "d", "c", "b", "a"))).isEqualTo(ordered);
     }
 
-    /** Guards against a host that becomes reachable again unnoticed because no host tries to contact it. */
-    @Test
-    void unreachableHostsBeforeTheRelaysAreStillContacted() {
-        String unreachable = ordered.get(0);
-        Set<String> contacts = RelayOrder.contacts(ordered, ordered.get(5), host -> !host.equals(unreachable));
-
-        assertThat(contacts)
-                .containsExactly(unreachable, ordered.get(1), ordered.get(2))
-                .inOrder();
-    }
-
-    /** Guards against a region of unreachable hosts that costs a connection to each of them. */
-    @Test
-    void theNumberOfContactsIsBounded() {
-        List<String> names = new ArrayList<>();
-        for (int i = 0; i < 100; i++) {
-            names.add("host-" + i);
-        }
-
-        assertThat(RelayOrder.contacts(RelayOrder.of(names), "host-0", host -> false))
-                .hasSize(8);
-    }
-
     /** Guards against live hosts without a common relay, and against a region with no or two first relays. */
     @Test
     void hostsThatSeeTheSameHostsShareTheirRelays() {
--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -1,9 +1,8 @@
 package io.carawaylift.host;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.carawaylift.decisions.fleet.Rendezvous;
+import io.carawaylift.decisions.relay.RelayContacts;
 import io.carawaylift.decisions.relay.RelayOrder;
 import io.carawaylift.peer.Connection;
 import io.carawaylift.peer.Message;
@@ -30,8 +29,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /**
  * Tracks the other hosts, whose addresses come from the store. Each host reports periodically to the two relays of its
@@ -73,8 +70,6 @@
 
     private static final long REGISTER_RETRY_MILLIS = 1000;
     private static final int CONFLICT_STATUS = 409;
-    private static final Pattern ADDRESS = Pattern.compile("[^:\\s]+:([0-9]{1,5})");
-    private static final int MAX_PORT = 65_535;
 
     private final HostOptions options;
     private final String ownName;
@@ -92,6 +87,8 @@
     private final Map<String, OutgoingLink> outgoingLinks = new HashMap<>();
     private final Map<String, Connection> incomingConnections = new HashMap<>();
     private final Map<String, Long> lastReceivedNanos = new HashMap<>();
+    private final RelayContacts contacts = new RelayContacts();
+    private boolean searching;
     private int port;
     private boolean registered;
     private boolean hostsSynchronized;
@@ -99,8 +96,6 @@
     private long reportCount;
     private boolean updateScheduled;
 
-    private record HostEntry(String address, String region, long revision) {}
-
     private record OutgoingLink(PeerLink link, String region, long openedNanos) {}
 
     HostMembership(
@@ -170,9 +165,17 @@
         return Math.max(1, Math.max(listedHosts.size(), liveHosts().size() + 1));
     }
 
-    /** Returns whether the other hosts had time to report since their addresses were read from the store. */
+    /**
+     * Returns whether the other hosts had time to report since their addresses were read from the store, and all that may
+     * be relays were contacted.
+     */
     boolean isSettled() {
-        return hostsSynchronized && System.nanoTime() - synchronizedNanos > maxReportAgeNanos();
+        return hostsSynchronized && !searching && System.nanoTime() - synchronizedNanos > maxReportAgeNanos();
+    }
+
+    /** Returns the number of listed hosts that did not respond to the last contact. */
+    int silentHosts() {
+        return contacts.silentHosts();
     }
 
     private void sendReportsPeriodically() {
@@ -254,13 +257,22 @@
 
     /** Maintains links to the relays of the own region and, if this host is a relay, to those of the other regions. */
     private void updateOutgoingLinks() {
+        long now = System.nanoTime();
+        outgoingLinks.forEach((host, outgoing) -> {
+            if (!isResponding(host, now) && now - outgoing.openedNanos() >= FIRST_MESSAGE_TIMEOUT_NANOS) {
+                contacts.silent(host, now);
+            }
+        });
         Set<String> wanted = new LinkedHashSet<>();
         List<String> order = relayOrders.getOrDefault(ownRegion, List.of());
-        wanted.addAll(RelayOrder.contacts(order, ownName, this::isLive));
+        RelayContacts.Contacts own = contacts.choose(order, ownName, host -> isResponding(host, now));
+        searching = own.searching();
+        wanted.addAll(own.hosts());
         if (RelayOrder.isRelay(order, ownName, this::isLive)) {
             relayOrders.forEach((region, hosts) -> {
                 if (!region.equals(ownRegion)) {
-                    wanted.addAll(RelayOrder.contacts(hosts, ownName, this::isLive));
+                    wanted.addAll(contacts.choose(hosts, ownName, host -> isResponding(host, now))
+                            .hosts());
                 }
             });
         }
@@ -285,12 +297,16 @@
     /** Returns whether a host sent a message recently or has not yet had the time to send its first one. */
     private boolean isLive(String host) {
         long now = System.nanoTime();
-        Long receivedNanos = lastReceivedNanos.get(host);
-        if (receivedNanos != null && now - receivedNanos < maxReportAgeNanos()) {
-            return true;
-        }
         OutgoingLink outgoing = outgoingLinks.get(host);
-        return outgoing == null ? receivedNanos == null : now - outgoing.openedNanos() < FIRST_MESSAGE_TIMEOUT_NANOS;
+        boolean starting = outgoing == null
+                ? !lastReceivedNanos.containsKey(host)
+                : now - outgoing.openedNanos() < FIRST_MESSAGE_TIMEOUT_NANOS;
+        return isResponding(host, now) || (starting && !contacts.isSilent(host));
+    }
+
+    private boolean isResponding(String host, long now) {
+        Long receivedNanos = lastReceivedNanos.get(host);
+        return receivedNanos != null && now - receivedNanos < maxReportAgeNanos();
     }
 
     private Message.Hello hello() {
@@ -305,10 +321,7 @@
     }
 
     private ObjectNode entry() {
-        return JsonNodeFactory.instance
-                .objectNode()
-                .put("address", options.host().address() + ":" + port)
-                .put("region", ownRegion);
+        return HostEntry.encode(options.host().address() + ":" + port, ownRegion);
     }
 
     /** Writes the own entry to the store if it is missing or has another address. */
@@ -339,18 +352,18 @@
     private final class HostEntryListener implements KindListener {
         @Override
         public void changed(StoreItem item) {
-            JsonNode address = item.value().path("address");
-            JsonNode region = item.value().path("region");
-            if (!address.isTextual() || !region.isTextual() || !isAddress(address.textValue())) {
+            Optional<HostEntry> decoded = HostEntry.decode(item);
+            if (decoded.isEmpty()) {
                 log.event("member.entry_ignored", line -> line.put("member", item.name()));
                 return;
             }
-            HostEntry before = listedHosts.put(
-                    item.name(), new HostEntry(address.textValue(), region.textValue(), item.revision()));
+            HostEntry entry = decoded.get();
+            HostEntry before = listedHosts.put(item.name(), entry);
             if (item.name().equals(ownName)) {
                 registered = item.value().equals(entry());
             }
-            if (before != null && !before.address().equals(address.textValue())) {
+            if (before != null && !before.address().equals(entry.address())) {
+                contacts.responded(item.name());
                 closeOutgoingLink(item.name());
             }
             updateRelayOrders();
@@ -359,6 +372,7 @@
         @Override
         public void deleted(String name, long graceMillis, long knownRevision) {
             listedHosts.remove(name);
+            contacts.responded(name);
             closeOutgoingLink(name);
             updateRelayOrders();
         }
@@ -373,11 +387,6 @@
             registerUnlessListed();
         }
 
-        private static boolean isAddress(String text) {
-            Matcher matcher = ADDRESS.matcher(text);
-            return matcher.matches() && Integer.parseInt(matcher.group(1)) <= MAX_PORT;
-        }
-
         private void closeOutgoingLink(String name) {
             OutgoingLink outgoing = outgoingLinks.remove(name);
             if (outgoing != null) {
@@ -458,8 +467,9 @@
     private void received(String host, Connection connection, Message message) {
         long now = System.nanoTime();
         lastReceivedNanos.put(host, now);
+        contacts.responded(host);
         if (message instanceof HostReport report) {
-            if (isComplete(report) && views.update(report, now)) {
+            if (RegionViews.isComplete(report) && views.update(report, now)) {
                 log.event(
                         "dependency.regained",
                         line -> line.put("dependency", "host")
@@ -469,23 +479,13 @@
             }
         } else if (message instanceof Message.RegionReports reports) {
             reports.regions().stream()
-                    .filter(HostMembership::isComplete)
+                    .filter(RegionViews::isComplete)
                     .forEach(region -> views.update(host, region, now));
         } else {
             relay.messageReceived(connection, message);
         }
     }
 
-    /** Returns whether a report has all fields that its readers rely on. */
-    private static boolean isComplete(HostReport report) {
-        return report.host() != null && report.region() != null && report.callerAddress() != null;
-    }
-
-    private static boolean isComplete(RegionReport report) {
-        return report.region() != null
-                && (report.hosts() == null || report.hosts().stream().allMatch(HostMembership::isComplete));
-    }
-
     /** Handles the end of the connection to a host that this one contacted. */
     private void outgoingLinkClosed(String host) {
         if (outgoingLinks.containsKey(host)) {
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -80,6 +80,7 @@
         metrics.gauge("carawaylift.endpoints.ignored", storeView::ignoredEntries);
         metrics.gauge("carawaylift.store.relay", () -> relay.isRelay() ? 1 : 0);
         metrics.gauge("carawaylift.hosts.alive", () -> membership.liveHosts().size() + 1);
+        metrics.gauge("carawaylift.hosts.silent", membership::silentHosts);
         metrics.gauge(
                 "carawaylift.configuration.version",
                 () -> storeView.table().map(RouteTable::version).orElse(0L));
--- a/host/src/main/java/io/carawaylift/host/RegionViews.java
+++ b/host/src/main/java/io/carawaylift/host/RegionViews.java
@@ -185,4 +185,15 @@
                 report.cores(),
                 Map.of());
     }
+
+    /** Returns whether a report has all fields that its readers rely on. */
+    static boolean isComplete(HostReport report) {
+        return report.host() != null && report.region() != null && report.callerAddress() != null;
+    }
+
+    /** Returns whether a report and those of its hosts have all fields that their readers rely on. */
+    static boolean isComplete(RegionReport report) {
+        return report.region() != null
+                && (report.hosts() == null || report.hosts().stream().allMatch(RegionViews::isComplete));
+    }
 }
--- a/host/src/test/java/io/carawaylift/host/StoreRelayTest.java
+++ b/host/src/test/java/io/carawaylift/host/StoreRelayTest.java
@@ -202,6 +202,20 @@
         }
     }
 
+    /** Guards against hosts that do not find each other because of the entries of hosts that are gone. */
+    @Test
+    void entriesOfHostsThatAreGoneDoNotHideTheLiveOnes() throws IOException {
+        for (int i = 0; i < 40; i++) {
+            store.put("carawaylift-hosts", "gone-" + i, "{\"address\":\"127.0.0.1:1\",\"region\":\"region-a\"}");
+        }
+        for (int i = HOSTS + 1; i <= HOSTS + 2; i++) {
+            hosts.add(new HostFixture(store, "host-" + i));
+        }
+        HostFixture started = hosts.get(HOSTS + 1);
+        HostFixture.await(() -> addresses(started).size() == HOSTS + 2);
+        HostFixture.await(() -> addresses(hosts.get(0)).size() == HOSTS + 2);
+    }
+
     /** Guards against lookups that return a stopped host or omit a live one. */
     @Test
     void lookupsReturnTheLiveHosts() throws IOException {
