Serve waiting requests in a fair order among customers

Cause: in the order of arrival, a customer that sends seven times its usual rate into a full service takes the capacity of the others.

Change: within a rank, WaitingRequests orders by start-time fair queueing with equal weights and the expected processing time as cost; without customers the order is that of arrival, as before. firstToRefuse is the pure rule of which request is refused first; nothing calls it yet.

--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/DispatchRequest.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/DispatchRequest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 
 /**
@@ -11,6 +12,8 @@
  */
 public final class DispatchRequest {
     private final String object;
+    private final String customer;
+    private final DoubleSupplier cost;
     private final int priority;
     private final long arrivedNanos;
     private final long targetMillis;
@@ -25,6 +28,8 @@
 
     private DispatchRequest(Builder builder) {
         this.object = builder.object;
+        this.customer = builder.customer;
+        this.cost = builder.cost;
         this.priority = builder.priority;
         this.arrivedNanos = builder.arrivedNanos;
         this.targetMillis = builder.targetMillis;
@@ -44,6 +49,16 @@
         return object;
     }
 
+    /** Returns the customer among which capacity is shared, empty if none. */
+    public String customer() {
+        return customer;
+    }
+
+    /** Returns the expected processing time in milliseconds, as far as it is known now. */
+    public double cost() {
+        return cost.getAsDouble();
+    }
+
     /** Returns the rank, 0 is the highest. */
     public int priority() {
         return priority;
@@ -109,6 +124,8 @@
     /** Builds a {@link DispatchRequest}. */
     public static final class Builder {
         private String object = "";
+        private String customer = "";
+        private DoubleSupplier cost = () -> 1;
         private int priority;
         private long arrivedNanos;
         private long targetMillis;
@@ -125,6 +142,18 @@
             return this;
         }
 
+        /** Sets the customer among which capacity is shared, empty if none. */
+        public Builder customer(String name) {
+            customer = Objects.requireNonNull(name, "name");
+            return this;
+        }
+
+        /** Sets what returns the expected processing time in milliseconds. */
+        public Builder cost(DoubleSupplier millis) {
+            cost = Objects.requireNonNull(millis, "millis");
+            return this;
+        }
+
         /** Sets the rank, 0 is the highest. */
         public Builder priority(int rank) {
             priority = rank;
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/WaitingRequests.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/WaitingRequests.java
@@ -1,14 +1,16 @@
 package io.carawaylift.decisions.dispatch;
 
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.IdentityHashMap;
-import java.util.TreeSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
 /**
- * The queue of one service: requests of the highest rank first, then in the order of their arrival. An attempt to send
- * costs the same however long the queue is. Not thread-safe.
+ * The queue of one service: requests of the highest rank first, then in a fair order among customers, which is the order
+ * of arrival if there are no customers. An attempt to send costs the same however long the queue is. Not thread-safe.
  *
  * @param <R> type of the requests
  */
@@ -19,16 +21,15 @@
      */
     private static final int MAX_FAILED_ATTEMPTS = 8;
 
-    private final TreeSet<Entry<R>> entries = new TreeSet<>(Comparator.comparingInt(Entry<R>::priority)
-            .thenComparingLong(Entry::arrivedNanos)
-            .thenComparingLong(Entry::sequence));
+    private final TreeMap<Integer, FairOrder<Entry<R>>> ranks = new TreeMap<>();
     private final Function<R, DispatchRequest> properties;
     private final IdentityHashMap<R, Entry<R>> byRequest = new IdentityHashMap<>();
     private long sequence;
     private boolean sending;
     private boolean sendAgain;
 
-    private record Entry<R>(int priority, long arrivedNanos, long sequence, R request) {}
+    private record Entry<R>(int priority, String customer, double cost, long arrivedNanos, long sequence, R request)
+            implements FairOrder.Entry {}
 
     /** Creates an empty queue; {@code properties} returns what a request is ordered by. */
     public WaitingRequests(Function<R, DispatchRequest> properties) {
@@ -38,23 +39,46 @@
     /** Adds a request; does nothing if it is waiting already. */
     public void add(R request) {
         DispatchRequest order = properties.apply(request);
-        Entry<R> entry = new Entry<>(order.priority(), order.arrivedNanos(), sequence++, request);
+        Entry<R> entry = new Entry<>(
+                order.priority(), order.customer(), order.cost(), order.arrivedNanos(), sequence++, request);
         if (byRequest.putIfAbsent(request, entry) == null) {
-            entries.add(entry);
+            rank(entry.priority()).add(entry);
         }
     }
 
-    /** Removes a request; does nothing if it is not waiting. */
+    /** Removes a request that is not sent; does nothing if it is not waiting. */
     public void remove(R request) {
         Entry<R> entry = byRequest.remove(request);
         if (entry != null) {
-            entries.remove(entry);
+            rank(entry.priority()).remove(entry);
         }
     }
 
+    /** Records that a request is sent, whether it waited or not, so that it counts as service of its customer. */
+    public void recordSent(R request) {
+        DispatchRequest order = properties.apply(request);
+        rank(order.priority()).served(order.customer(), order.cost());
+    }
+
     /** Returns the number of waiting requests. */
     public int size() {
-        return entries.size();
+        return byRequest.size();
+    }
+
+    /**
+     * Returns the request to refuse first if not all can be served in time: of the lowest rank, the last one of the
+     * customer that was served most and waits with most. The newest arrival may belong to a customer that got little.
+     */
+    public Optional<R> firstToRefuse() {
+        return ranks.descendingMap().values().stream()
+                .filter(rank -> !rank.isEmpty())
+                .findFirst()
+                .flatMap(FairOrder::firstToRefuse)
+                .map(Entry::request);
+    }
+
+    private FairOrder<Entry<R>> rank(int priority) {
+        return ranks.computeIfAbsent(priority, key -> new FairOrder<>());
     }
 
     /**
@@ -78,19 +102,28 @@
     }
 
     private void tryFirst(Predicate<R> trySend) {
-        int failedAttempts = 0;
-        Entry<R> last = null;
-        while (failedAttempts < MAX_FAILED_ATTEMPTS && !entries.isEmpty()) {
-            Entry<R> next = last == null ? entries.first() : entries.higher(last);
-            if (next == null) {
+        Set<Entry<R>> failed = Collections.newSetFromMap(new IdentityHashMap<>());
+        while (failed.size() < MAX_FAILED_ATTEMPTS) {
+            Optional<Entry<R>> next = first(failed);
+            if (next.isEmpty()) {
                 return;
             }
-            if (trySend.test(next.request())) {
-                remove(next.request());
+            R request = next.get().request();
+            if (trySend.test(request)) {
+                remove(request);
             } else {
-                failedAttempts++;
+                failed.add(next.get());
+            }
+        }
+    }
+
+    private Optional<Entry<R>> first(Set<Entry<R>> except) {
+        for (FairOrder<Entry<R>> rank : ranks.values()) {
+            Optional<Entry<R>> first = rank.first(except);
+            if (first.isPresent()) {
+                return first;
             }
-            last = next;
         }
+        return Optional.empty();
     }
 }
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -136,6 +136,8 @@
         deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis);
         dispatch = DispatchRequest.builder()
                 .object(object)
+                .customer(customer.map(Customer::name).orElse(""))
+                .cost(() -> traffic.processingTimes().meanMillis())
                 .priority(authorization.priority(route.priority()))
                 .arrivedNanos(arrivedNanos)
                 .targetMillis(route.targetLatencyMillis())
@@ -201,6 +203,7 @@
         switch (decision.verdict()) {
             case SEND -> {
                 queued = false;
+                traffic.recordSent(this);
                 send(decision.choice().orElseThrow(), now);
                 return true;
             }
--- a/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
+++ b/host/src/main/java/io/carawaylift/host/ServiceTraffic.java
@@ -65,6 +65,11 @@
         waiting.remove(request);
     }
 
+    /** Records that a request is sent, so that it counts as service of its customer. */
+    void recordSent(CallerRequest request) {
+        waiting.recordSent(request);
+    }
+
     /** Tries to send the first of the queued requests. */
     void sendQueued() {
         waiting.sendFirst(CallerRequest::trySend);
