--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -144,6 +144,8 @@
         dispatch = DispatchRequest.builder()
                 .object(preference)
                 .times(routeLoad.times())
+                .customer(customer.map(Customer::name).orElse(""))
+                .cost(() -> routeLoad.times().meanMillis())
                 .priority(authorization.priority(route.priority()))
                 .arrivedNanos(arrivedNanos)
                 .targetMillis(route.targetLatencyMillis())
@@ -209,6 +211,7 @@
         switch (decision.verdict()) {
             case SEND -> {
                 queued = false;
+                traffic.recordSent(this);
                 send(decision.choice().orElseThrow(), now);
                 return true;
             }
