--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -62,7 +62,7 @@
         this.ownsStore = ownsStore;
         this.id = id;
         this.gracePeriodSeconds = gracePeriodSeconds;
-        Files.writeString(settingsPath, settings(id, peerPort, store.address(), gracePeriodSeconds, 0.2, limits));
+        Files.writeString(settingsPath, settings(id, peerPort, store.address(id), gracePeriodSeconds, 0.2, limits));
         Settings settings = Settings.read(settingsPath);
         EventLog log = new EventLog(id, logOutput);
         host = new HostService(
@@ -103,7 +103,7 @@
 
     /** Rewrites the settings file while the host runs. */
     void changeRetryRatio(double ratio) throws IOException {
-        Files.writeString(settingsPath, settings(id, peerPort, store.address(), gracePeriodSeconds, ratio, limits));
+        Files.writeString(settingsPath, settings(id, peerPort, store.address(id), gracePeriodSeconds, ratio, limits));
     }
 
     /**
@@ -192,6 +192,11 @@
                 .orElseThrow(() -> new AssertionError("no value of " + series));
     }
 
+    /** Cuts this host off from the store without a reset of its connections. */
+    void cutOffFromStore() {
+        store.cutOff(id);
+    }
+
     HostService host() {
         return host;
     }
