--- a/host/src/main/java/io/carawaylift/host/KindObjects.java
+++ b/host/src/main/java/io/carawaylift/host/KindObjects.java
@@ -135,11 +135,13 @@
             JsonNode value = MAPPER.readTree(change.value().toArray());
             return Optional.of(new StoreItem(change.name(), change.revision(), value));
         } catch (IOException e) {
+            // The message of the parser may quote the value, which may contain keys.
+            String reason = e instanceof JsonProcessingException invalid && invalid.getLocation() != null
+                    ? "not JSON at byte " + invalid.getLocation().getByteOffset()
+                    : "not JSON";
             log.event(
                     "store.change_ignored",
-                    line -> line.put("kind", kind)
-                            .put("name", change.name())
-                            .put("reason", String.valueOf(e.getMessage())));
+                    line -> line.put("kind", kind).put("name", change.name()).put("reason", reason));
             return Optional.empty();
         }
     }
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -131,16 +131,12 @@
         return revision;
     }
 
-    /**
-     * Returns the milliseconds since the time that the last answered call of this host proves: the objects were those
-     * of the store when that call was sent, and for an empty response to a watch also at the end of its wait. Empty if
-     * no call was answered.
-     */
+    /** Returns the milliseconds since the time that the last answered call proves, empty if no call was answered. */
     OptionalLong provenAgeMillis() {
-        OptionalLong proven = chain.provenNanos();
-        return proven.isPresent()
-                ? OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - proven.getAsLong()))
-                : proven;
+        long now = System.nanoTime();
+        return chain.provenNanos().stream()
+                .map(nanos -> TimeUnit.NANOSECONDS.toMillis(now - nanos))
+                .findFirst();
     }
 
     /** Returns the time in seconds since the store, or a host that follows it, last confirmed the known objects. */
@@ -325,7 +321,9 @@
             loaded("store", objects.size());
         }
         listNeeded = false;
-        listener.proven(provenTime(sent, wait, empty));
+        // An empty response that came before the end of the wait shows nothing about that end.
+        boolean waited = empty && now - sentNanos >= wait.toNanos();
+        listener.proven(waited ? sent.plusMillis(wait.toMillis()) : sent);
         if (now - sentNanos < wait.toNanos() + MAX_RESPONSE_DELAY_NANOS) {
             relay.responded(now);
         }
@@ -339,21 +337,8 @@
 
     private Duration watchWait(long now) {
         boolean atOnce = !fullyLoaded || !availability.isAvailable() || availability.isReadAgain() || replaced;
-        if (atOnce) {
-            return KindWaits.IMMEDIATE_WATCH;
-        }
-        Duration wait = waits.watch(chain, now);
-        Duration limit = listener.maxWatchWait();
-        return wait.compareTo(limit) < 0 ? wait : limit;
-    }
-
-    /**
-     * Returns the time at which the objects known after a watch were those of the store: an empty response shows that
-     * there was no change until the end of the wait, any other shows only the changes known when the call was sent.
-     */
-    private static ClockReading provenTime(ClockReading sent, Duration wait, boolean empty) {
-        boolean waited = System.nanoTime() - sent.monotonicNanos() >= wait.toNanos();
-        return empty && waited ? sent.plusMillis(wait.toMillis()) : sent;
+        Duration wait = atOnce ? KindWaits.IMMEDIATE_WATCH : waits.watch(chain, now);
+        return wait.compareTo(listener.maxWatchWait()) < 0 ? wait : listener.maxWatchWait();
     }
 
     private long graceMillis() {
