--- a/decisions/src/main/java/io/carawaylift/decisions/quota/QuotaTerms.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/quota/QuotaTerms.java
@@ -17,7 +17,7 @@
     private static final double GRANTED_SLACK = 0.4;
 
     /** Part of the slack that is kept for what hosts admitted and could not report before they were killed or cut off. */
-    private static final double RESERVED_SLACK = 0.4;
+    private static final double RESERVED_SLACK = 0.6;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
