--- a/decisions/src/test/java/io/carawaylift/decisions/quota/QuotaSimulation.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/quota/QuotaSimulation.java
@@ -1,6 +1,7 @@
 package io.carawaylift.decisions.quota;
 
 import io.carawaylift.decisions.customer.Customer;
+import io.carawaylift.decisions.relay.RelayContacts;
 import io.carawaylift.decisions.relay.RelayOrder;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -190,6 +191,7 @@
         private final Map<String, Long> heard = new HashMap<>();
         private final Map<String, Long> contacted = new HashMap<>();
         private final Map<String, Long> incoming = new HashMap<>();
+        private final RelayContacts relayContacts = new RelayContacts();
         private ElapsedClock clock;
         private long stoppedNanos;
         private long frozenSince;
@@ -268,7 +270,7 @@
             OwnCounts own = exchange.nextReport(relay || !incoming.isEmpty(), clock.nanos());
             QuotaTotals region = exchange.totals(true, clock.nanos());
             QuotaTotals all = exchange.totals(false, clock.nanos());
-            for (String contact : RelayOrder.contacts(order, name, this::isLive)) {
+            for (String contact : contacts(order)) {
                 contacted.putIfAbsent(contact, now);
                 Host to = byName.get(contact);
                 send(to, () -> {
@@ -280,7 +282,7 @@
             if (relay) {
                 relayOrders.forEach((other, names) -> {
                     if (!other.equals(region())) {
-                        for (String contact : RelayOrder.contacts(names, name, this::isLive)) {
+                        for (String contact : contacts(names)) {
                             contacted.putIfAbsent(contact, now);
                             sendRegion(byName.get(contact), region);
                         }
@@ -322,6 +324,17 @@
             });
         }
 
+        private Set<String> contacts(List<String> order) {
+            for (String host : order) {
+                if (isLive(host)) {
+                    relayContacts.responded(host);
+                } else {
+                    relayContacts.silent(host, now);
+                }
+            }
+            return relayContacts.choose(order, name, this::isLive).hosts();
+        }
+
         private boolean isLive(String host) {
             Long time = heard.get(host);
             if (time != null) {
