Remove the entries of hosts that are gone from the store

Cause: each host writes an entry once and none was ever removed, so that replaced machines stay listed and keep their parts of the shared limits.

A host whose own entry is missing writes it again, also after a restored store.

--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -92,6 +93,7 @@
     private final Map<String, Connection> incomingConnections = new HashMap<>();
     private final Map<String, Long> lastReceivedNanos = new HashMap<>();
     private final RelayContacts contacts = new RelayContacts();
+    private final StaleEntryRemoval staleEntries;
     private boolean searching;
     private int port;
     private boolean registered;
@@ -116,6 +118,7 @@
         this.ownName = options.host().id();
         this.ownRegion = options.host().region();
         this.store = store;
+        this.staleEntries = new StaleEntryRemoval(store, loop, log);
         this.relay = relay;
         this.loop = loop;
         this.log = log;
@@ -225,6 +228,19 @@
                 .forEach(outgoing -> outgoing.link().send(outgoing.region().equals(ownRegion) ? own : ownRegionOnly));
         sendUpdates(full);
         quotas.sendReports(peerTargets(), listedHosts(), reportIntervalMillis());
+        removeStaleEntries();
+    }
+
+    private void removeStaleEntries() {
+        Map<String, Long> revisions = new HashMap<>();
+        listedHosts.forEach((name, entry) -> {
+            if (entry.region().equals(ownRegion)) {
+                revisions.put(name, entry.revision());
+            }
+        });
+        Set<String> live = new HashSet<>(Set.of(ownName));
+        liveHostsInRegion().forEach(host -> live.add(host.host()));
+        staleEntries.run(revisions, live, isSettled() && relay.isRelay());
     }
 
     private List<PeerTarget> peerTargets() {
@@ -400,6 +416,11 @@
         @Override
         public void deleted(String name, long graceMillis, long knownRevision) {
             listedHosts.remove(name);
+            if (name.equals(ownName)) {
+                // Removed by a host that did not hear this one, or missing in a store that was restored from a copy.
+                registered = false;
+                loop.after(REGISTER_RETRY_MILLIS, HostMembership.this::registerUnlessListed);
+            }
             contacts.responded(name);
             closeOutgoingLink(name);
             updateRelayOrders();
--- a/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
+++ b/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
@@ -276,4 +276,14 @@
     void aHostRegistersItself() {
         HostFixture.await(() -> fixture.store().objectCount("carawaylift-hosts") == 1);
     }
+
+    /** Guards against a live host that stays unknown after another one removed its entry, or a restored store lacks it. */
+    @Test
+    void aHostWhoseEntryIsMissingRegistersAgain() {
+        HostFixture.await(() -> fixture.store().objectCount("carawaylift-hosts") == 1);
+        fixture.awaitLine("member.registered", "revision");
+        fixture.store().delete("carawaylift-hosts", "host-1");
+
+        HostFixture.await(() -> fixture.store().objectCount("carawaylift-hosts") == 1);
+    }
 }
