End a stopped host's calls to the store

Cause: a stopped host went on probing the store.

Change: the stop of a host ends the calls for all kinds.

Measured: HostLifecycleTest and ForwardingTest pass.

--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -215,6 +215,7 @@
             pause();
         }
         log.event("stopped", line -> line.put("openRequests", forwarder.openRequests()));
+        loop.runAndWait(storeView::stop);
         membership.stop();
         log.close();
     }
--- a/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
+++ b/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
@@ -286,4 +286,19 @@
 
         HostFixture.await(() -> fixture.store().objectCount("carawaylift-hosts") == 1);
     }
+
+    /**
+     * Guards against a stopped host whose calls reach whatever listens at the store's port later: an endpoint of another
+     * test once got its watch.
+     */
+    @Test
+    void aStoppedHostMakesNoMoreCallsToTheStore() throws InterruptedException {
+        HostFixture.await(() -> fixture.store().objectCount("carawaylift-hosts") == 1);
+        fixture.host().stop();
+        int calls = fixture.store().callCount();
+        // Longer than the wait of a watch.
+        Thread.sleep(2500);
+
+        assertThat(fixture.store().callCount()).isEqualTo(calls);
+    }
 }
