Write the steps of a request without format strings

Cause: format strings are parsed for each step of each request, mostly in interpreted code.

Change: RequestSteps appends to one text.

--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -25,8 +25,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -68,7 +66,7 @@
     private final long arrivedNanos;
     private final String id;
     private final String object;
-    private final List<String> steps = new ArrayList<>();
+    private final RequestSteps steps;
     private Route route;
     private RequestAccess access;
     private Optional<Customer> customer = Optional.empty();
@@ -94,6 +92,7 @@
         this.head = head;
         this.body = body;
         this.arrivedNanos = arrivedNanos;
+        this.steps = new RequestSteps(arrivedNanos);
         this.id = head.headers().get(RequestHeaders.REQUEST_ID, "");
         this.object = head.headers().get(RequestHeaders.OBJECT, "");
     }
@@ -231,13 +230,16 @@
         EndpointStatus endpoint = choice.endpoint();
         String endpointId = endpoint.entry().id();
         sends++;
-        step(
-                "send to %s load %.1f/%d wait %.0f work %.0f",
-                endpointId,
-                endpoint.load(now),
-                endpoint.entry().slots(),
-                choice.queueWaitMillis(),
-                choice.processingMillis());
+        steps.step("send to ")
+                .append(endpointId)
+                .append(" load ")
+                .appendTenths(endpoint.load(now))
+                .append("/")
+                .append(endpoint.entry().slots())
+                .append(" wait ")
+                .append(Math.round(choice.queueWaitMillis()))
+                .append(" work ")
+                .append(Math.round(choice.processingMillis()));
         endpoint.requestSent(dispatch.object(), now);
         forwarder.registry().health().tried(endpointId, now);
         inFlightEndpoint = endpoint;
@@ -342,7 +344,7 @@
             response.discard();
             runs--;
             mayHaveRun = runs > 0;
-            step("%s did not run it: status %d", endpointId, response.status());
+            steps.step(endpointId).append(" did not run it: status ").append(response.status());
             endpoint.outcome(false, now);
             retryNotRun(endpoint, "status " + response.status());
             return;
@@ -360,7 +362,7 @@
             endpoint.outcome(false, now);
             if (tryTakeRetry()) {
                 response.discard();
-                step("%s failed: status %d", endpointId, response.status());
+                steps.step(endpointId).append(" failed: status ").append(response.status());
                 dispatch.exclude(endpointId);
                 sendOrQueue();
                 return;
@@ -392,7 +394,7 @@
     /** Sends the request to another endpoint, since the chosen one pushed back before the request was written. */
     private void sendElsewhere(EndpointStatus endpoint) {
         String endpointId = endpoint.entry().id();
-        step("%s pushed back before the request was sent", endpointId);
+        steps.step(endpointId).append(" pushed back before the request was sent");
         dispatch.exclude(endpointId);
         if (sends < MAX_SENDS) {
             sendOrQueue();
@@ -420,7 +422,7 @@
         forwarder.registry().health().failed(endpointId, System.nanoTime());
         endpoint.outcome(false, System.nanoTime());
         dispatch.exclude(endpointId);
-        step("%s: %s", endpointId, failure.reason());
+        steps.step(endpointId).append(": ").append(failure.reason());
         if (finished) {
             return;
         }
@@ -565,15 +567,10 @@
                                 .put("code", code.number())
                                 .put("status", status)
                                 .put("ms", millis)
-                                .put("steps", String.join("; ", steps))
+                                .put("steps", steps.toString())
                                 .put("reason", reason));
     }
 
-    private void step(String format, Object... values) {
-        steps.add(String.format(Locale.ROOT, "%.0f ms: ", millisSince(arrivedNanos))
-                + String.format(Locale.ROOT, format, values));
-    }
-
     private static double millisSince(long nanos) {
         return (System.nanoTime() - nanos) / NANOS_PER_MILLI;
     }
