Serve deployments without customers and speed reports by the former rules of admission

Change: reserve, refusal of late places, corrected region weights and ramp-up apply where the configuration has customers or the endpoints report their speed.

--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/AdmissionLimits.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/AdmissionLimits.java
@@ -49,16 +49,14 @@
     }
 
     /**
-     * Returns the latency from the arrival within which the response must be expected now, unless a slot is free. In
-     * overload, and where no endpoint is preferred, a place in an endpoint's queue is not taken for a late response: the
-     * queues would fill with late work, and hardly any request would be in time.
+     * Returns the latency from the arrival within which the response must be expected now, unless a slot is free.
+     *
+     * @param inTimeOnly whether a place in an endpoint's queue is not taken for a late response: in overload the queues
+     *     would fill with late work, and hardly any request would be in time
      */
-    static double maxLatencyMillis(DispatchRequest request, boolean overload, long nowNanos) {
+    static double maxLatencyMillis(DispatchRequest request, boolean inTimeOnly, long nowNanos) {
         boolean acceptsLate = request.waitedNanos(nowNanos) >= TimeUnit.MILLISECONDS.toNanos(targetWaitMillis(request));
-        if (!acceptsLate) {
-            return (double) request.targetMillis();
-        }
-        if (overload || request.object().isEmpty()) {
+        if (!acceptsLate || inTimeOnly) {
             return (double) request.targetMillis();
         }
         return Math.max((double) request.targetMillis(), LATE_RESPONSE_FRACTION * request.timeoutMillis());
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntToDoubleFunction;
 import java.util.function.Predicate;
@@ -36,6 +37,7 @@
     private final ToDoubleFunction<String> roundTripMillis;
     private final DoubleSupplier coldRate;
     private final Predicate<EndpointEntry> mayWarmUp;
+    private final BooleanSupplier scarce;
     private IntToDoubleFunction reservedFraction = rank -> 0;
 
     /** What happens to a request now. */
@@ -65,6 +67,7 @@
         this.roundTripMillis = builder.roundTripMillis;
         this.coldRate = builder.coldRate;
         this.mayWarmUp = builder.mayWarmUp;
+        this.scarce = builder.scarce;
     }
 
     /** Returns a builder. */
@@ -77,6 +80,11 @@
         return processingTimes;
     }
 
+    /** Returns whether callers compete for capacity that is scarce or uneven. */
+    public boolean isScarce() {
+        return scarce.getAsBoolean();
+    }
+
     /** Returns the shares of the regions. */
     public RegionShares shares() {
         return shares;
@@ -125,7 +133,7 @@
                 return new Decision(Verdict.SEND, elsewhere, "");
             }
         }
-        long maxWaitMillis = shares.isOverloaded()
+        long maxWaitMillis = scarce.getAsBoolean() && shares.isOverloaded()
                 ? AdmissionLimits.maxOverloadWaitMillis(request, times)
                 : AdmissionLimits.maxWaitMillis(request);
         if (request.waitedNanos(nowNanos) >= maxWaitMillis * NANOS_PER_MILLI) {
@@ -168,7 +176,13 @@
                 request.excluded(),
                 coldRate.getAsDouble(),
                 mayWarmUp,
-                reservedFraction.applyAsDouble(request.priority()));
+                scarce.getAsBoolean() ? reservedFraction.applyAsDouble(request.priority()) : 0,
+                scarce.getAsBoolean());
+    }
+
+    private boolean isInTimeOnly(DispatchRequest request) {
+        return scarce.getAsBoolean()
+                && (shares.isOverloaded() || request.object().isEmpty());
     }
 
     /**
@@ -215,7 +229,7 @@
     private boolean isExpectedInTime(DispatchRequest request, Choice choice, long nowNanos) {
         return choice.slotFree()
                 || expectedLatencyMillis(request, choice, nowNanos)
-                        <= AdmissionLimits.maxLatencyMillis(request, shares.isOverloaded(), nowNanos);
+                        <= AdmissionLimits.maxLatencyMillis(request, isInTimeOnly(request), nowNanos);
     }
 
     private double expectedLatencyMillis(DispatchRequest request, Choice choice, long nowNanos) {
@@ -235,6 +249,7 @@
         private ToDoubleFunction<String> roundTripMillis = region -> 0;
         private DoubleSupplier coldRate = () -> 1;
         private Predicate<EndpointEntry> mayWarmUp = endpoint -> false;
+        private BooleanSupplier scarce = () -> true;
 
         private Builder() {}
 
@@ -286,6 +301,15 @@
             return this;
         }
 
+        /**
+         * Sets whether callers compete for capacity that is scarce or uneven, so that late work gets no place in overload,
+         * urgent requests have a reserve and endpoints are ramped up. True unless set.
+         */
+        public Builder scarce(BooleanSupplier competing) {
+            scarce = Objects.requireNonNull(competing, "competing");
+            return this;
+        }
+
         /** Creates the dispatcher. */
         public ServiceDispatcher build() {
             return new ServiceDispatcher(this);
--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServicePlan.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServicePlan.java
@@ -51,6 +51,7 @@
         double perZone = ASSUMED_UTILIZATION * total / regionOfEachZone.size();
         Map<String, Double> demand = new TreeMap<>();
         regionOfEachZone.forEach(region -> demand.merge(region, perZone, Double::sum));
+        dispatcher.shares().setCorrecting(dispatcher.isScarce());
         dispatcher.shares().setMaxOwnUtilization(maxLocalUtilization(dispatcher));
         dispatcher.shares().update(slots, demand, 1, nowNanos);
     }
@@ -62,6 +63,7 @@
      * @param recentObjects number of objects that were requested recently
      */
     public void update(ServiceDispatcher dispatcher, Map<String, Double> busySlots, int recentObjects, long nowNanos) {
+        dispatcher.shares().setCorrecting(dispatcher.isScarce());
         dispatcher.shares().setMaxOwnUtilization(maxLocalUtilization(dispatcher));
         dispatcher.shares().update(usableSlots(nowNanos), busySlots, maxLocalFraction(recentObjects), nowNanos);
     }
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -91,6 +91,7 @@
      * @param coldRate requests per second that a cold endpoint of the service tolerates
      * @param mayWarmUp whether this host may send to a cold endpoint
      * @param reservedFraction fraction of each endpoint's slots that the request leaves to more urgent ones
+     * @param rampUp whether endpoints that have just become warm or recovered get their share step by step
      */
     public record Requirements(
             String service,
@@ -99,7 +100,8 @@
             Set<String> excluded,
             double coldRate,
             Predicate<EndpointEntry> mayWarmUp,
-            double reservedFraction) {
+            double reservedFraction,
+            boolean rampUp) {
         /** Creates the requirements of a request that may use all slots. */
         public Requirements(
                 String service,
@@ -108,7 +110,7 @@
                 Set<String> excluded,
                 double coldRate,
                 Predicate<EndpointEntry> mayWarmUp) {
-            this(service, object, largeResponse, excluded, coldRate, mayWarmUp, 0);
+            this(service, object, largeResponse, excluded, coldRate, mayWarmUp, 0, true);
         }
     }
 
@@ -192,7 +194,7 @@
             long nowNanos) {
         if (!mayUse(status, requirements, nowNanos)
                 || status.isReserved(requirements.reservedFraction(), nowNanos)
-                || (paced && !isInShare(status, requirements, nowNanos))) {
+                || (paced && requirements.rampUp() && !isInShare(status, requirements, nowNanos))) {
             return;
         }
         boolean cached = isExpectedCached(status, requirements, position);
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -179,6 +179,7 @@
         lastWaiting = waiting;
         group.reported(this, running + waiting, nowNanos);
         if (processingPercent > 0) {
+            group.speedReported();
             speed = processingPercent / PERCENT;
             speedReportedNanos = nowNanos;
         }
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/RegionShares.java
@@ -42,6 +42,8 @@
     /** Corrections of the shares by which objects choose their region, as natural logarithms. */
     private final Map<String, Double> corrections = new HashMap<>();
 
+    private boolean correcting = true;
+
     private long updatedNanos;
     private double spillCredit;
     private double utilization;
@@ -122,7 +124,7 @@
         if (creditor.isEmpty()) {
             return "";
         }
-        if (!object.isEmpty()) {
+        if (correcting && !object.isEmpty()) {
             correct(preferred, total);
         }
         boolean withinDebt = !object.isEmpty() && credits.get(preferred) - total >= -MAX_DEBT_REQUESTS;
@@ -131,6 +133,11 @@
         return chosen;
     }
 
+    /** Sets whether the weights by which objects choose their region are corrected; without it the last ones hold. */
+    public void setCorrecting(boolean newCorrecting) {
+        correcting = newCorrecting;
+    }
+
     /**
      * Corrects the weights by which objects choose their region. A few objects with many requests make a region get more
      * or less than its share; without the correction the excess would be dealt to all regions request by request, and
--- a/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointPickerTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointPickerTest.java
@@ -189,7 +189,7 @@
     @Test
     void lessUrgentRequestsLeaveTheReservedSlots() {
         addEndpoints(40);
-        Requirements reports = new Requirements("service", "", false, Set.of(), COLD_RATE, entry -> true, 0.125);
+        Requirements reports = new Requirements("service", "", false, Set.of(), COLD_RATE, entry -> true, 0.125, true);
         Requirements maps = requirements("", true);
         int sent = 0;
         for (int i = 0; i < 1000; i++) {
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -217,6 +217,7 @@
                 .roundTripMillis(this::roundTripMillis)
                 .coldRate(() -> coldRate(service))
                 .mayWarmUp(this::mayWarmUp)
+                .scarce(() -> isScarce(service))
                 .build();
         ServicePlan plan = new ServicePlan(service, registry, ownRegion(), targetMillis);
         plan.start(dispatcher, options.regionsByZone().values(), now);
@@ -232,6 +233,14 @@
         return membership.listedHosts();
     }
 
+    /**
+     * Returns whether callers compete for the capacity of a service: the configuration has customers, or the endpoints
+     * report how their processing time changes. Other deployments keep the rules under which they were sized.
+     */
+    boolean isScarce(String service) {
+        return !storeView.customers().isEmpty() || registry.reportsSpeed(service);
+    }
+
     /**
      * Returns the requests per second that a cold endpoint of a service tolerates, summed over all hosts; 1 if unknown.
      */
