--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointRegistry.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointRegistry.java
@@ -92,11 +92,6 @@
         return groups.getOrDefault(service, Map.of()).getOrDefault(region, NO_REPORTS);
     }
 
-    /** Returns whether endpoints of the service report their current processing time. */
-    public boolean reportsSpeed(String service) {
-        return groups.getOrDefault(service, Map.of()).values().stream().anyMatch(GroupLoad::reportsSpeed);
-    }
-
     /** Removes an endpoint; does nothing if the id is unknown. */
     public void remove(String id) {
         changeCount++;
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointStatus.java
@@ -179,7 +179,6 @@
         lastWaiting = waiting;
         group.reported(this, running + waiting, nowNanos);
         if (processingPercent > 0) {
-            group.speedReported();
             speed = processingPercent / PERCENT;
             speedReportedNanos = nowNanos;
         }
--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/GroupLoad.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/GroupLoad.java
@@ -20,7 +20,6 @@
     private int nextFree;
     private double perSlot;
     private long reportedNanos;
-    private boolean reportsSpeed;
 
     /** Records the requests running and waiting at an endpoint. */
     void reported(EndpointStatus endpoint, double load, long nowNanos) {
@@ -39,16 +38,6 @@
         }
     }
 
-    /** Records that an endpoint reported its current processing time. */
-    void speedReported() {
-        reportsSpeed = true;
-    }
-
-    /** Returns whether the endpoints report their current processing time. */
-    boolean reportsSpeed() {
-        return reportsSpeed;
-    }
-
     /** Returns the mean number of requests per slot. */
     double perSlot(long nowNanos) {
         return perSlot * Decay.remaining(nowNanos - reportedNanos - HOLD_NANOS, HALF_LIFE_NANOS);
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -136,7 +136,7 @@
         routeLoad = traffic.route(route, arrivedNanos);
         routeLoad.arrived(arrivedNanos);
         // Where no endpoint is faster for an object that it handled, none is preferred.
-        String preference = route.sessionAffinity() || !forwarder.isScarce(service) ? object : "";
+        String preference = route.sessionAffinity() || !forwarder.isScarce() ? object : "";
         traffic.arrived(preference, arrivedNanos);
         long allowedMillis = Math.min(callerRemainingMillis(), route.timeoutMillis());
         deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis);
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -217,7 +217,7 @@
                 .roundTripMillis(this::roundTripMillis)
                 .coldRate(() -> coldRate(service))
                 .mayWarmUp(this::mayWarmUp)
-                .scarce(() -> isScarce(service))
+                .scarce(this::isScarce)
                 .build();
         ServicePlan plan = new ServicePlan(service, registry, ownRegion(), targetMillis);
         plan.start(dispatcher, options.regionsByZone().values(), now);
@@ -234,11 +234,11 @@
     }
 
     /**
-     * Returns whether callers compete for the capacity of a service: the configuration has customers, or the endpoints
-     * report how their processing time changes. Other deployments keep the rules under which they were sized.
+     * Returns whether customers compete for capacity. Deployments without customers keep the rules under which they were
+     * sized: with those for scarce capacity, desk lookups at endpoints of uneven speed were in time half as often.
      */
-    boolean isScarce(String service) {
-        return !storeView.customers().isEmpty() || registry.reportsSpeed(service);
+    boolean isScarce() {
+        return !storeView.customers().isEmpty();
     }
 
     /**
