Check the calls of a region from its start again, and bound the contacts as tightly as they are

Cause: oneHostOfTheRegionFollowsTheStoreForTheOthers had got a wait of 6 s before it counts, which left out the calls of the start; theNumberOfContactsIsBounded allowed 8 contacts where 6 are made. aHostThatStartsWhileTheStoreIsUnreachableLearnsFromTheOthers failed in 2 of 3 runs beside the tests of the module testing: the host's port, from the range of the kernel's ports for connections, was in use.

--- a/decisions/src/test/java/io/carawaylift/decisions/relay/RelayContactsTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/relay/RelayContactsTest.java
@@ -40,7 +40,7 @@
         List<String> order = RelayOrder.of(names);
         for (int round = 0; round < 40; round++) {
             Set<String> chosen = contacts.choose(order, "host-0", host -> false).hosts();
-            assertThat(chosen.size()).isAtMost(8);
+            assertThat(chosen.size()).isAtMost(6);
             long now = round;
             chosen.forEach(host -> contacts.silent(host, now));
         }
--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -6,11 +6,15 @@
 import io.carawaylift.standin.SimulatedStore;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 
 /** A host with a simulated store and scripted endpoints, on loopback. */
@@ -57,12 +61,13 @@
             SimulatedStore store, boolean ownsStore, String id, double gracePeriodSeconds, int peerPort, String limits)
             throws IOException {
         this.limits = limits;
-        this.peerPort = peerPort;
+        this.peerPort = peerPort == 0 ? freePeerPort() : peerPort;
         this.store = store;
         this.ownsStore = ownsStore;
         this.id = id;
         this.gracePeriodSeconds = gracePeriodSeconds;
-        Files.writeString(settingsPath, settings(id, peerPort, store.address(id), gracePeriodSeconds, 0.2, limits));
+        Files.writeString(
+                settingsPath, settings(id, this.peerPort, store.address(id), gracePeriodSeconds, 0.2, limits));
         Settings settings = Settings.read(settingsPath);
         EventLog log = new EventLog(id, logOutput);
         host = new HostService(
@@ -70,6 +75,21 @@
         host.start();
     }
 
+    /**
+     * Returns a free port below those that the kernel gives to connections. A test that starts a host again at its port
+     * failed while connections of other programs used that port.
+     */
+    private static int freePeerPort() throws IOException {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // In use; another one is tried.
+            }
+        }
+    }
+
     static String settings(String id, int peerPort, String storeAddress, double gracePeriodSeconds, double retryRatio) {
         return settings(id, peerPort, storeAddress, gracePeriodSeconds, retryRatio, "");
     }
--- a/host/src/test/java/io/carawaylift/host/StoreRelayTest.java
+++ b/host/src/test/java/io/carawaylift/host/StoreRelayTest.java
@@ -74,8 +74,6 @@
             hosts.get(0).addEndpoint("e-" + i);
             awaitInForce(i);
         }
-        // Until then, the relay asks more often for the other hosts.
-        Thread.sleep(6000);
         HostFixture relay = relay();
         Map<HostFixture, Double> callsBefore = new HashMap<>();
         hosts.forEach(host -> callsBefore.put(host, calls(host)));
