Count the positions of an object's endpoints among those that may be used

Cause: the position was the index in the order, so that with the first endpoint suspended, excluded or cold none was expected to cache the object. Estimates were those of uncached objects, requests waited and were refused, and objects scattered.

Change: an endpoint that may not be used has no position, as before the candidates were bounded.

Measured: the new test fails on the old code; EndpointPickerTest and HeavyLoadTest pass.

--- a/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/fleet/EndpointPicker.java
@@ -142,8 +142,10 @@
             considerAtRandom(candidates.all, MAX_POSITIONS + RANDOM_CANDIDATES, 0, requirements, times, nowNanos);
         } else {
             EndpointStatus[] order = order(candidates, requirements.object());
-            for (int position = 0; position < order.length; position++) {
-                consider(order[position], position, requirements, times, true, nowNanos);
+            // Only endpoints that may be used have a position: the first of them is expected to cache the object.
+            int position = 0;
+            for (EndpointStatus status : order) {
+                position += consider(status, position, requirements, times, true, nowNanos) ? 1 : 0;
             }
             if (candidates.all.length > order.length) {
                 considerAtRandom(candidates.all, RANDOM_CANDIDATES, MAX_POSITIONS, requirements, times, nowNanos);
@@ -185,17 +187,20 @@
         }
     }
 
-    private void consider(
+    /** Considers an endpoint and returns whether it may be used. */
+    private boolean consider(
             EndpointStatus status,
             int position,
             Requirements requirements,
             ProcessingTimes times,
             boolean paced,
             long nowNanos) {
-        if (!mayUse(status, requirements, nowNanos)
-                || status.isReserved(requirements.reservedFraction(), nowNanos)
+        if (!mayUse(status, requirements, nowNanos)) {
+            return false;
+        }
+        if (status.isReserved(requirements.reservedFraction(), nowNanos)
                 || (paced && requirements.rampUp() && !isInShare(status, requirements, nowNanos))) {
-            return;
+            return true;
         }
         boolean cached = isExpectedCached(status, requirements, position);
         double cost = processingMillis(status, cached, times, nowNanos)
@@ -209,6 +214,7 @@
             best = status;
             bestPosition = position;
         }
+        return true;
     }
 
     private static boolean isIn(EndpointStatus status, String service, String region) {
--- a/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointPickerTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/fleet/EndpointPickerTest.java
@@ -55,6 +55,22 @@
         assertThat(new HashSet<>(chosen.values()).size()).isAtLeast(5);
     }
 
+    /**
+     * Guards against requests that wait for or avoid the endpoint that takes over an object when its first endpoint is gone
+     * or suspended: it has the object cached after one request.
+     */
+    @Test
+    void theNextEndpointIsTheHomeOfAnObjectWhoseFirstEndpointIsNotUsable() {
+        addEndpoints(6);
+        String first = pick(requirements("object", true), 0).orElseThrow();
+        Requirements withoutFirst = requirements("object", true, first);
+        Choice next = picker.pick(withoutFirst, "region", times, 0).orElseThrow();
+
+        assertThat(next.endpoint().entry().id()).isNotEqualTo(first);
+        assertThat(next.expectedCached()).isTrue();
+        assertThat(next.processingMillis()).isEqualTo(times.expectedMillis(true));
+    }
+
     /** Guards against a new endpoint to which objects of all other endpoints move, so that caches go cold. */
     @Test
     void aNewEndpointTakesOnlyItsShareOfTheObjects() {
