--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and the players of the cases 6 to 10 into target/review-2.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+javac -nowarn -d target/review-2 review/src-2/review2/*.java
