--- a/review/src-2/review2/HeadCase.java
+++ b/review/src-2/review2/HeadCase.java
@@ -51,7 +51,7 @@
                 record, directory, "front-kgl-a-1", "kgl-a", 1, store.address(), Host.Deployment.inziraShoots());
         hosts.add(host);
         host.start();
-        if (!host.awaitReady(13_000)) {
+        if (!host.awaitReady(Host.START_MILLIS)) {
             return NOT_RUN;
         }
         Thread.sleep(4500);
--- a/review/src-2/review2/Host.java
+++ b/review/src-2/review2/Host.java
@@ -10,8 +10,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -19,6 +21,9 @@
 
 /** The project's program as a process, with the command and the template of the deploy file. Not thread-safe. */
 final class Host {
+    /** Longer than a start takes on a busy machine. */
+    static final long START_MILLIS = 30_000;
+
     /** Zones and bounds of the deployment. */
     record Deployment(Map<String, String> zones, Map<String, Object> bounds) {
         /** Those of inzira-shoots, from its sheet in SYSTEM.md. */
@@ -88,6 +93,7 @@
 
     final String name;
     final InetAddress address;
+    private final Set<Integer> ports = new HashSet<>();
     private final Path directory;
     private final Record record;
     private final Path settings;
@@ -125,9 +131,14 @@
         Files.writeString(settings, Template.fill(Files.readString(Path.of("deploy/host.toml")), fields));
     }
 
+    /** Returns a port of the host's address that is free and was not returned before. */
     private int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, address)) {
-            return socket.getLocalPort();
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, address)) {
+                if (ports.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            }
         }
     }
 
--- a/review/src-2/review2/LastTenantCase.java
+++ b/review/src-2/review2/LastTenantCase.java
@@ -35,7 +35,7 @@
             host.start();
         }
         for (Host host : hosts) {
-            if (!host.awaitReady(15_000)) {
+            if (!host.awaitReady(Host.START_MILLIS)) {
                 return NOT_RUN;
             }
         }
--- a/review/src-2/review2/OddEntryCase.java
+++ b/review/src-2/review2/OddEntryCase.java
@@ -46,7 +46,7 @@
             host.start();
         }
         for (Host host : hosts) {
-            if (!host.awaitReady(13_000)) {
+            if (!host.awaitReady(Host.START_MILLIS)) {
                 return NOT_RUN;
             }
         }
--- a/review/src-2/review2/RestoredStoreCase.java
+++ b/review/src-2/review2/RestoredStoreCase.java
@@ -55,7 +55,7 @@
             host.start();
         }
         for (Host host : hosts) {
-            if (!host.awaitReady(15_000)) {
+            if (!host.awaitReady(Host.START_MILLIS)) {
                 return NOT_RUN;
             }
         }
--- a/review/src-2/review2/RollingStopCase.java
+++ b/review/src-2/review2/RollingStopCase.java
@@ -63,7 +63,7 @@
             host.start();
         }
         for (Host host : hosts) {
-            if (!host.awaitReady(13_000)) {
+            if (!host.awaitReady(Host.START_MILLIS)) {
                 return NOT_RUN;
             }
         }
@@ -134,7 +134,7 @@
                 host.awaitEnd(GRACE_MILLIS + 1000);
                 record.line(host.name + ": ended, status " + host.exitStatus());
                 host.start();
-                if (!host.awaitReady(13_000)) {
+                if (!host.awaitReady(Host.START_MILLIS)) {
                     notReady.incrementAndGet();
                 }
             }
--- a/review/src-2/review2/SlowReaderCase.java
+++ b/review/src-2/review2/SlowReaderCase.java
@@ -45,7 +45,7 @@
                 record, directory, "front-hobart-a-1", "hobart-a", 1, store.address(), Host.Deployment.derwent());
         hosts.add(host);
         host.start();
-        if (!host.awaitReady(15_000)) {
+        if (!host.awaitReady(Host.START_MILLIS)) {
             return NOT_RUN;
         }
         try (Caller warm = new Caller(host.callers())) {
