--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-javac -nowarn -d target/review-2 review/src-2/review2/*.java
+javac --release 17 -nowarn -d target/review-2 review/second/src/test/java/review2/*.java
