Close a stand-in's connection only after it has said so

Cause: an endpoint that began to leave between writing an answer and its return closed the connection without the header. Done: the state is read once for each answer; the two programs that are no cases say so.

--- a/review/second/src/test/java/review2/Endpoint.java
+++ b/review/second/src/test/java/review2/Endpoint.java
@@ -129,12 +129,12 @@
                 requestId, request.startLine(), request.header("x-tenant"), System.nanoTime(), new boolean[1]);
         runs.add(run);
         record.line(id + ": runs " + requestId + " " + request.startLine());
-        boolean close = leaving;
         try {
             Thread.sleep(workMillis);
         } finally {
             running.decrementAndGet();
         }
+        boolean last = leaving;
         byte[] body = new byte[request.method().equals("HEAD") ? 0 : bodyBytes];
         Arrays.fill(body, (byte) 'b');
         write(
@@ -142,10 +142,10 @@
                 "200 OK",
                 requestId,
                 "X-Response-Signature: " + id + "." + requestId + "\r\nX-Server-Load: " + running.get() + ",0," + slots
-                        + "\r\n" + (leaving ? "Connection: close\r\n" : "Keep-Alive: timeout=10\r\n"),
+                        + "\r\n" + (last ? "Connection: close\r\n" : "Keep-Alive: timeout=10\r\n"),
                 body);
         run.answered()[0] = true;
-        return close || leaving;
+        return last;
     }
 
     private static void write(OutputStream out, String status, String requestId, String headers, byte[] body)
--- a/review/second/src/test/java/review2/PathBytesCase.java
+++ b/review/second/src/test/java/review2/PathBytesCase.java
@@ -3,7 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 
-/** Callers send request targets with bytes above 0x7f, UTF-8 without percent encoding. */
+/**
+ * Callers send request targets with bytes above 0x7f, UTF-8 without percent encoding. Not among the five cases, since sound
+ * clients encode them; REPORT-2.md has its result.
+ */
 final class PathBytesCase extends Case {
     private static final String PREFIX = "/xapu221/ny95/";
 
--- a/review/second/src/test/java/review2/SlowReaderCase.java
+++ b/review/second/src/test/java/review2/SlowReaderCase.java
@@ -14,7 +14,7 @@
 
 /**
  * A host gets SIGTERM while callers that read slowly wait for the responses to two requests, and then send a third one
- * before they have read those responses.
+ * before they have read those responses. Not among the five cases; REPORT-2.md has its result.
  */
 final class SlowReaderCase extends Case {
     private static final int CALLERS = 8;
