--- a/review/second/src/test/java/review2/Case.java
+++ b/review/second/src/test/java/review2/Case.java
@@ -24,9 +24,9 @@
     /** Plays the case; returns the exit status. */
     abstract int play() throws Exception;
 
-    /** Runs the case; {@code folder} gets the record. */
-    final void run(Path folder) throws IOException, InterruptedException {
-        record = new Record(folder.resolve("record.txt"));
+    /** Runs the case; {@code file} gets the record. */
+    final void run(Path file) throws IOException, InterruptedException {
+        record = new Record(file);
         directory = Files.createTempDirectory("review-2-");
         Thread clean = new Thread(this::end);
         Runtime.getRuntime().addShutdownHook(clean);
