Run the drain of a stopping host on its event loop

What callers saw: at about a quarter of the planned stops under load the process ended 2.6 s after SIGTERM and cut off every request in progress. Cause: HostService.stop asked the server of callers on the thread of the shutdown hook whether it was busy. That iterates over the set of connections, which the event loop changes as idle connections close. The exception left stop, and the hook ends the process. Fix: GracefulDrain runs on the event loop, where the connections do not change during a step; the hook's thread only waits, for a bounded time. The other reads of the stopping thread (open requests, settings, links to hosts) moved as well.

--- a/host/src/main/java/io/carawaylift/host/CallerServer.java
+++ b/host/src/main/java/io/carawaylift/host/CallerServer.java
@@ -1,6 +1,7 @@
 package io.carawaylift.host;
 
 import io.carawaylift.decisions.route.CallerLimits;
+import io.carawaylift.host.drain.DrainedServer;
 import io.carawaylift.host.http.InvalidMessage;
 import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.model.ResultCode;
@@ -23,7 +24,7 @@
 
 /** Accepts connections of callers and closes idle ones. Used on the event loop only. */
 @SuppressWarnings("FutureReturnValueIgnored") // failures close the channel, which is observed
-final class CallerServer {
+final class CallerServer implements DrainedServer {
     private static final int BACKLOG = 512;
     private static final int MAX_REQUEST_LINE_BYTES = 8192;
 
@@ -174,16 +175,16 @@
         stopping = true;
     }
 
-    /** Stops accepting connections and closes those without a request in progress. */
-    void closeIdle() {
+    @Override
+    public void stopAccepting() {
         if (listening != null) {
             listening.close();
         }
         new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
     }
 
-    /** Returns whether a request is being read or processed. */
-    boolean isBusy() {
+    @Override
+    public boolean isBusy() {
         return connections.stream().anyMatch(CallerConnection::isBusy);
     }
 }
--- a/host/src/main/java/io/carawaylift/host/HostLoop.java
+++ b/host/src/main/java/io/carawaylift/host/HostLoop.java
@@ -45,7 +45,12 @@
 
     /** Runs a task on the event loop and waits until it completes. Must be called from another thread. */
     void runAndWait(Runnable task) {
-        CompletableFuture.runAsync(task, loop).join();
+        start(task).join();
+    }
+
+    /** Queues a task on the event loop; the future completes after it, exceptionally if it throws. Thread-safe. */
+    CompletableFuture<Void> start(Runnable task) {
+        return CompletableFuture.runAsync(task, loop);
     }
 
     /** Calls a handler when a future completes and logs what the handler throws. */
--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -152,9 +152,14 @@
         incomingConnections.values().forEach(connection -> connection.send(message));
     }
 
+    /** Stops following the store and closes the links to other hosts. */
     void stop() {
         watcher.stop();
         outgoingLinks.values().forEach(outgoing -> outgoing.link().close());
+    }
+
+    /** Ends the network after {@link #stop}. Called outside the event loop, since it waits for another thread. */
+    void closeNetwork() {
         network.close();
     }
 
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -6,6 +6,8 @@
 import io.carawaylift.decisions.quota.QuotaTerms;
 import io.carawaylift.decisions.route.CallerLimits;
 import io.carawaylift.decisions.route.RouteTable;
+import io.carawaylift.host.drain.DrainTimes;
+import io.carawaylift.host.drain.GracefulDrain;
 import io.carawaylift.host.quota.HostQuotas;
 import io.carawaylift.peer.Message;
 import io.carawaylift.platform.store.ObjectStoreClient;
@@ -16,6 +18,10 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** Creates the components of an entry host and runs them on one event loop. */
 final class HostService implements Service {
@@ -26,21 +32,15 @@
     /** Checks for changes that come without a signal; the platform allows seconds until a change is in force. */
     private static final long SETTINGS_CHECK_INTERVAL_MILLIS = 1000;
 
-    /**
-     * Duration after a stop in which requests are still accepted: the lifetime of a lookup response plus some delay.
-     */
-    private static final Duration ACCEPT_DURATION_AFTER_STOP = Duration.ofMillis(2600);
-
-    /**
-     * Fraction of the grace period after which the program terminates even if requests are in progress; the rest is
-     * for the end of the program on a busy host.
-     */
-    private static final double USABLE_GRACE_FRACTION = 0.86;
-
     private static final long STOP_POLL_INTERVAL_MILLIS = 50;
 
+    /** Longer than the event loop is busy with one task. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(500);
+
     private final SettingsFile settings;
-    private HostOptions options;
+    /** Written on the event loop; the thread that stops the service reads it as well. */
+    private volatile HostOptions options;
+
     private final EventLog log;
     private final HostMetrics metrics = new HostMetrics();
     private final MultiThreadIoEventLoopGroup group =
@@ -194,30 +194,49 @@
 
     @Override
     public void stop() {
-        long stopStartedNanos = System.nanoTime();
+        long startedNanos = System.nanoTime();
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        loop.execute(() -> drain(startedNanos, drained));
+        await(drained, options.limits().gracePeriod());
+        await(
+                loop.start(() -> {
+                    storeView.stop();
+                    membership.stop();
+                }),
+                CLOSE_TIMEOUT);
+        membership.closeNetwork();
+        log.close();
+    }
+
+    /** Completes a future when the requests in progress have ended or the time for them has passed. */
+    private void drain(long startedNanos, CompletableFuture<Void> drained) {
         log.event("stopping", line -> line.put("openRequests", forwarder.openRequests()));
-        loop.runAndWait(() -> {
-            stopping = true;
-            callers.prepareStop();
-            // Not awaited: a fault in a report must not cut off the requests in progress.
-            loop.execute(membership::sendReports);
-        });
-        long maxStopNanos = (long) (options.limits().gracePeriod().toNanos() * USABLE_GRACE_FRACTION);
-        boolean accepting = true;
-        while (System.nanoTime() - stopStartedNanos < maxStopNanos) {
-            if (accepting && System.nanoTime() - stopStartedNanos > ACCEPT_DURATION_AFTER_STOP.toNanos()) {
-                accepting = false;
-                loop.runAndWait(callers::closeIdle);
-            }
-            if (!accepting && !callers.isBusy()) {
-                break;
-            }
-            pause();
+        stopping = true;
+        callers.prepareStop();
+        // A task of its own, since a fault in a report must not break off the stop.
+        loop.execute(membership::sendReports);
+        continueDrain(new GracefulDrain(callers, DrainTimes.of(options.limits().gracePeriod()), startedNanos), drained);
+    }
+
+    private void continueDrain(GracefulDrain drain, CompletableFuture<Void> drained) {
+        // Scheduled first, since a fault in one step must not end the drain.
+        HostLoop.Timer next = loop.after(STOP_POLL_INTERVAL_MILLIS, () -> continueDrain(drain, drained));
+        if (drain.step(System.nanoTime())) {
+            next.cancel();
+            log.event("stopped", line -> line.put("openRequests", forwarder.openRequests()));
+            drained.complete(null);
+        }
+    }
+
+    /** Waits for an end on the event loop, but not longer than the process has. */
+    private void await(CompletableFuture<Void> end, Duration timeout) {
+        try {
+            end.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            loop.logFault(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
-        log.event("stopped", line -> line.put("openRequests", forwarder.openRequests()));
-        loop.runAndWait(storeView::stop);
-        membership.stop();
-        log.close();
     }
 
     private final class FreshnessState implements ConfigurationFreshness.State {
@@ -262,10 +281,16 @@
         return lookupAddress;
     }
 
+    /** Returns the metrics. Counters may be read by any thread; gauges read what the event loop changes. */
     HostMetrics metrics() {
         return metrics;
     }
 
+    /** Returns the text of the metrics page. Must not be called on the event loop. */
+    String scrapeMetrics() {
+        return CompletableFuture.supplyAsync(metrics::scrape, loop.netty()).join();
+    }
+
     /** Returns the port for the other hosts; known after the start. */
     int peerPort() {
         return membership.port();
@@ -299,12 +324,4 @@
     private PageServer.Page metricsPage(String target) {
         return new PageServer.Page(200, "text/plain; version=0.0.4", metrics.scrape());
     }
-
-    private static void pause() {
-        try {
-            Thread.sleep(STOP_POLL_INTERVAL_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/host/src/test/java/io/carawaylift/host/CustomerRequestsTest.java
+++ b/host/src/test/java/io/carawaylift/host/CustomerRequestsTest.java
@@ -152,6 +152,6 @@
         fixture.awaitLine("\"event\":\"request\"", "\"customer\":\"north\"");
 
         assertThat(fixture.log()).doesNotContain("secret-");
-        assertThat(fixture.host().metrics().scrape()).doesNotContain("secret-");
+        assertThat(fixture.host().scrapeMetrics()).doesNotContain("secret-");
     }
 }
--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -203,8 +203,7 @@
 
     /** Returns a value of the metrics page; {@code series} is its name with labels. */
     double metric(String series) {
-        return host.metrics()
-                .scrape()
+        return host.scrapeMetrics()
                 .lines()
                 .filter(line -> line.startsWith(series + " "))
                 .mapToDouble(line -> Double.parseDouble(line.substring(series.length() + 1)))
--- a/host/src/test/java/io/carawaylift/host/StopUnderLoadTest.java
+++ b/host/src/test/java/io/carawaylift/host/StopUnderLoadTest.java
@@ -66,6 +66,49 @@
         }
     }
 
+    /**
+     * Guards against a stop that fails, and cuts off the requests in progress, since connections close while it looks for
+     * busy ones.
+     */
+    @Test
+    void requestsInProgressAreAnsweredAlthoughManyConnectionsCloseDuringTheStop() throws Exception {
+        int idleConnections = 800;
+        int requests = 3;
+        endpoint.script((request, connection) -> {
+            Thread.sleep(1500);
+            ScriptedEndpoint.respondOk(request, connection);
+        });
+        List<RawCaller> idle = new ArrayList<>();
+        List<RawCaller> busy = new ArrayList<>();
+        try {
+            for (int i = 0; i < requests; i++) {
+                busy.add(fixture.caller());
+            }
+            for (int i = 0; i < idleConnections; i++) {
+                idle.add(fixture.caller());
+            }
+            CompletableFuture<Void> stop = CompletableFuture.runAsync(fixture::stopHost);
+            fixture.awaitLine("\"event\":\"stopping\"");
+            // The idle connections are closed while these run.
+            Thread.sleep(1900);
+            for (int i = 0; i < requests; i++) {
+                busy.get(i).send("POST", "/unsafe/1", "id-" + i, "");
+            }
+            HostFixture.await(() -> endpoint.requests().size() == requests);
+            stop.join();
+            for (RawCaller caller : busy) {
+                assertThat(caller.read().status()).isEqualTo(200);
+            }
+        } finally {
+            for (RawCaller caller : idle) {
+                caller.close();
+            }
+            for (RawCaller caller : busy) {
+                caller.close();
+            }
+        }
+    }
+
     /** Guards against requests that were accepted during a stop and get no answer. */
     @Test
     void everyRequestThatWasPassedOnDuringAStopIsAnswered() throws Exception {
