Order versions of a restored store by era and revision

What callers saw: after the store had come back from an older copy, a configuration that takes a key away was acknowledged and never in force; requests with the withdrawn key ran. Cause: ObjectTable compared revisions alone, and a restored store assigns them again from a lower one. The configuration was taken for an old one, and the answered list proved the one in force. Endpoints, evacuations, entries of hosts, copies of relays, digests and held removals used the same comparison. Fix: one rule in ObjectTable for all kinds. Positions are era and revision; what the writer's marks (version, born and sequence) prove to be older is withheld. A response counts only for the era of the revision from which it was asked; a new era lists every kind again. What the store lost is kept for 2 s. A host whose accepted entry was lost registers again. MalformedPeerMessageTest waits until its endpoint is listed: it failed once with 503 at the first request, since a host may be ready before.

--- a/decisions/src/main/java/io/carawaylift/decisions/currency/CallChain.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/currency/CallChain.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The calls of one kind of objects, one after the other. The view of the kind is current while each call is answered in
@@ -79,4 +80,9 @@
     public OptionalLong provenNanos() {
         return proven ? OptionalLong.of(provenNanos) : OptionalLong.empty();
     }
+
+    /** Returns the milliseconds since that time, or empty if there is none. */
+    public OptionalLong provenAgeMillis(long now) {
+        return proven ? OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(now - provenNanos)) : OptionalLong.empty();
+    }
 }
--- a/decisions/src/main/java/io/carawaylift/decisions/replica/Digest64.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/replica/Digest64.java
@@ -21,6 +21,13 @@
         return of(input.putLong(version).put(utf8).array());
     }
 
+    /** Returns the digest of a name with a revision of an era. */
+    static long of(String name, long era, long revision) {
+        byte[] utf8 = name.getBytes(StandardCharsets.UTF_8);
+        ByteBuffer input = ByteBuffer.allocate(2 * Long.BYTES + utf8.length);
+        return of(input.putLong(era).putLong(revision).put(utf8).array());
+    }
+
     private static MessageDigest sha256() {
         try {
             return MessageDigest.getInstance("SHA-256");
--- a/decisions/src/test/java/io/carawaylift/decisions/currency/CallChainTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/currency/CallChainTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.carawaylift.decisions.replica.StorePosition;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -128,14 +129,14 @@
     @Test
     void aRemovalIsHeldUntilTheOtherKindIsKnownUpToItsRevision() {
         HeldRemovals held = new HeldRemovals();
-        held.hold("zone-a", 20);
-        held.hold("zone-b", 25);
-        held.hold("zone-c", 20);
+        held.hold("zone-a", new StorePosition(1, 20));
+        held.hold("zone-b", new StorePosition(1, 25));
+        held.hold("zone-c", new StorePosition(1, 20));
         held.cancel("zone-c");
 
-        assertThat(held.release(19)).isEmpty();
-        assertThat(held.release(21)).containsExactly("zone-a");
-        assertThat(held.release(30)).containsExactly("zone-b");
+        assertThat(held.release(new StorePosition(1, 19))).isEmpty();
+        assertThat(held.release(new StorePosition(1, 21))).containsExactly("zone-a");
+        assertThat(held.release(new StorePosition(1, 30))).containsExactly("zone-b");
         assertThat(held.isEmpty()).isTrue();
     }
 }
--- a/host/src/main/java/io/carawaylift/host/HostMembership.java
+++ b/host/src/main/java/io/carawaylift/host/HostMembership.java
@@ -94,6 +94,7 @@
     private final Map<String, Long> lastReceivedNanos = new HashMap<>();
     private final RelayContacts contacts = new RelayContacts();
     private final StaleEntryRemoval staleEntries;
+    private final DelayedRemovals removals;
     private boolean searching;
     private int port;
     private boolean registered;
@@ -119,6 +120,7 @@
         this.ownRegion = options.host().region();
         this.store = store;
         this.staleEntries = new StaleEntryRemoval(store, loop, log);
+        this.removals = new DelayedRemovals(loop);
         this.relay = relay;
         this.loop = loop;
         this.log = log;
@@ -407,6 +409,7 @@
                 return;
             }
             HostEntry entry = decoded.get();
+            removals.cancel(item.name());
             HostEntry before = listedHosts.put(item.name(), entry);
             if (item.name().equals(ownName)) {
                 registered = item.value().equals(entry());
@@ -419,7 +422,15 @@
         }
 
         @Override
-        public void deleted(String name, long graceMillis, long knownRevision) {
+        public void deleted(Removal removal) {
+            boolean own = removal.name().equals(ownName);
+            // Another host writes an entry again that a restored store has lost, and until then keeps its part of the
+            // shared limits.
+            long delayMillis = removal.lost() && !own ? removal.graceMillis() : 0;
+            removals.remove(removal.name(), delayMillis, () -> remove(removal.name()));
+        }
+
+        private void remove(String name) {
             listedHosts.remove(name);
             if (name.equals(ownName)) {
                 // Removed by a host that did not hear this one, or missing in a store that was restored from a copy.
@@ -438,6 +449,8 @@
                 synchronizedNanos = System.nanoTime();
                 sendReports();
             }
+            // A restored store may lack an entry whose acceptance is all that this host saw of it.
+            registered = registered && listedHosts.containsKey(ownName);
             registerUnlessListed();
         }
 
--- a/host/src/main/java/io/carawaylift/host/HostOptions.java
+++ b/host/src/main/java/io/carawaylift/host/HostOptions.java
@@ -42,6 +42,10 @@
     private static final Duration MIN_BOUND = Duration.ofMillis(100);
     private static final Duration MAX_BOUND = Duration.ofMinutes(10);
     private static final double MILLIS_PER_SECOND = 1000;
+
+    /** Heartbeats that an endpoint misses before the store removes its entry. */
+    private static final int HEARTBEATS_UNTIL_EXPIRY = 3;
+
     private static final int MIN_BUFFER_BYTES = 64 * 1024;
     private static final int MAX_BUFFER_BYTES = 1024 * 1024 * 1024;
     private static final int DEFAULT_RESPONSE_BYTES = 8 * 1024 * 1024;
@@ -79,6 +83,7 @@
      * @param drainDelay time after which an endpoint that leaves must get no new requests
      * @param strictRevocation whether a host that cannot know that a key is still valid must refuse it
      * @param revocationDelay time after which a withdrawn key must be refused
+     * @param entryExpiry silence of an endpoint after which the store removes its entry
      * @param quotaWindow length of the windows in which customers' requests are limited
      * @param quotaOverage fraction by which a customer's limit may be exceeded in a window
      * @param quotaSlack requests beyond the limit and its overage in a window
@@ -89,6 +94,7 @@
             Duration drainDelay,
             boolean strictRevocation,
             Duration revocationDelay,
+            Duration entryExpiry,
             Duration quotaWindow,
             double quotaOverage,
             double quotaSlack) {}
@@ -156,6 +162,7 @@
                 millis(settings, "limits.drain_delay_ms", 3000),
                 settings.flag("limits.strict_revocation", false),
                 millis(settings, "limits.revocation_delay_ms", 5000),
+                millis(settings, "platform.heartbeat_interval_ms", 1500).multipliedBy(HEARTBEATS_UNTIL_EXPIRY),
                 seconds(settings, "limits.quota_window_s", 5),
                 settings.decimal("limits.quota_overage", 0, 0, 1),
                 settings.decimal("limits.quota_slack", 0, 0, 1e6));
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -74,7 +74,7 @@
                 new StoreConnections(loop, options.store(), metrics, peerFaults), STORE_CALL_TIMEOUT);
         StoreRetries retries = new StoreRetries(loop);
         this.relay = new StoreRelay(CurrencyTimes.of(options.bounds().stabilityWindow()));
-        this.storeView = new StoreView(registry, store, retries, relay, loop, log, options.regionsByZone());
+        this.storeView = new StoreView(registry, store, retries, relay, loop, log, options);
         this.quotas = HostQuotas.builder()
                 .host(options.host().id(), options.host().region())
                 .terms(new QuotaTerms(
@@ -139,10 +139,11 @@
     }
 
     private void addGauges(KindWatcher watcher) {
-        metrics.gauge("carawaylift.store.age.seconds", watcher::ageSeconds, "kind", watcher.kind());
+        metrics.gauge("carawaylift.store.age.seconds", watcher.availability()::ageSeconds, "kind", watcher.kind());
         metrics.gauge("carawaylift.store.call.age.seconds", watcher::callAgeSeconds, "kind", watcher.kind());
         metrics.gauge("carawaylift.store.current", () -> watcher.isCurrent() ? 1 : 0, "kind", watcher.kind());
-        metrics.gauge("carawaylift.store.responses.lost", watcher::lostResponses, "kind", watcher.kind());
+        metrics.gauge(
+                "carawaylift.store.responses.lost", watcher.availability()::lostResponses, "kind", watcher.kind());
     }
 
     @Override
--- a/host/src/main/java/io/carawaylift/host/KindAvailability.java
+++ b/host/src/main/java/io/carawaylift/host/KindAvailability.java
@@ -83,6 +83,11 @@
         return false;
     }
 
+    /** Records that the store no longer has the changes since a revision. */
+    void historyExpired(long revision) {
+        log.event("store.history_gone", line -> line.put("kind", kind).put("revision", revision));
+    }
+
     /** Returns whether the store responded with an error, which shows that it is reachable. */
     static boolean isRefusal(Throwable failure) {
         return cause(failure) instanceof StoreException;
--- a/host/src/main/java/io/carawaylift/host/KindLister.java
+++ b/host/src/main/java/io/carawaylift/host/KindLister.java
@@ -1,6 +1,7 @@
 package io.carawaylift.host;
 
 import io.carawaylift.decisions.currency.CallChain;
+import io.carawaylift.decisions.replica.StorePosition;
 import io.carawaylift.platform.store.ObjectStoreClient;
 import io.carawaylift.platform.store.ObjectStoreClient.ListMode;
 import io.carawaylift.platform.store.StoreItem;
@@ -15,6 +16,9 @@
     /** Stands for an unknown revision of a page; lower than any revision. */
     private static final long NO_REVISION = 0;
 
+    /** Stands for the pages before the first one. */
+    private static final StorePosition ANY_PAGE = new StorePosition(0, Long.MAX_VALUE);
+
     private final String kind;
     private final ObjectStoreClient store;
     private final CallSequence calls;
@@ -26,10 +30,10 @@
         /**
          * Called when all pages were read.
          *
-         * @param revision revision that no page is older than; changes after it have to be watched
+         * @param position position that no page is older than; changes after it have to be watched
          * @param sentNanos when the first page was requested
          */
-        void listed(ListMode mode, List<StoreItem> items, long revision, long sentNanos);
+        void listed(ListMode mode, List<StoreItem> items, StorePosition position, long sentNanos);
 
         /** Called after each page. */
         void pageRead();
@@ -48,14 +52,14 @@
 
     /** Starts to read all objects. A list that may be old is read again if its age is unknown. */
     void list(ListMode mode, Duration allowance) {
-        page(mode, allowance, "", Long.MAX_VALUE, System.nanoTime(), new ArrayList<>());
+        page(mode, allowance, "", ANY_PAGE, System.nanoTime(), new ArrayList<>());
     }
 
     private void page(
             ListMode mode,
             Duration allowance,
             String after,
-            long earlierRevision,
+            StorePosition earlier,
             long firstSentNanos,
             List<StoreItem> items) {
         chain.sent(System.nanoTime(), Duration.ZERO);
@@ -63,14 +67,16 @@
             listener.pageRead();
             // The watch starts at the revision of the oldest page, so that changes made between two pages are not
             // missed.
-            long revision = Math.min(earlierRevision, revisionOf(page, mode));
+            long era = page.position().era();
+            boolean restoredMeanwhile = !earlier.equals(ANY_PAGE) && earlier.era() != era;
+            StorePosition position = new StorePosition(era, Math.min(earlier.revision(), revisionOf(page, mode)));
             items.addAll(page.items());
-            if (revision == NO_REVISION) {
+            if (position.revision() == NO_REVISION || restoredMeanwhile) {
                 list(ListMode.LATEST, allowance);
             } else if (page.hasNextPage() && !page.items().isEmpty()) {
-                page(mode, allowance, items.get(items.size() - 1).name(), revision, firstSentNanos, items);
+                page(mode, allowance, items.get(items.size() - 1).name(), position, firstSentNanos, items);
             } else {
-                listener.listed(mode, items, revision, firstSentNanos);
+                listener.listed(mode, items, position, firstSentNanos);
             }
         };
         calls.await(store.list(kind, after, mode), allowance, (page, failure) -> {
--- a/host/src/main/java/io/carawaylift/host/KindObjects.java
+++ b/host/src/main/java/io/carawaylift/host/KindObjects.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.carawaylift.decisions.customer.ClockReading;
 import io.carawaylift.decisions.replica.ObjectTable;
+import io.carawaylift.decisions.replica.StorePosition;
 import io.carawaylift.model.RecordBytes;
 import io.carawaylift.peer.Message.ObjectChange;
 import io.carawaylift.peer.Message.ObjectChanges;
@@ -11,6 +13,7 @@
 import io.carawaylift.platform.store.StoreItem;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -21,6 +24,9 @@
  * returns what changed in the form that other hosts read. Used on the event loop only.
  */
 final class KindObjects {
+    /** Time after the store is back in which live writers write their objects again that expired or were lost. */
+    static final long RENEWAL_MILLIS = 2000;
+
     private static final RecordBytes NO_VALUE = RecordBytes.of("");
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -28,48 +34,61 @@
     private final HostLoop loop;
     private final EventLog log;
     private final KindListener listener;
-    private final ObjectTable<StoreItem> table = new ObjectTable<>();
+    private final ObjectTable<StoreItem> table;
 
     KindObjects(String kind, HostLoop loop, EventLog log, KindListener listener) {
         this.kind = kind;
         this.loop = loop;
         this.log = log;
         this.listener = listener;
+        this.table = new ObjectTable<>(listener::mark);
     }
 
     int size() {
         return table.all().size();
     }
 
-    /** Returns a digest of the names and revisions of all objects. */
+    /** Returns a digest of the names and positions of all objects. */
     long digest() {
         return table.digest();
     }
 
     /** Returns all objects. */
     List<ObjectChange> all() {
-        List<ObjectChange> objects = new ArrayList<>();
-        table.all().forEach(version -> objects.add(toChange(version.value())));
-        return objects;
+        return toChanges(table.all());
+    }
+
+    /** Returns the objects of which a restored store has only an older version. */
+    List<ObjectChange> newerThanStore() {
+        return toChanges(table.newerThanStore());
+    }
+
+    /** Tells the listener that the objects were those of the store at a time, unless a restored store has older ones. */
+    void proven(ClockReading at) {
+        if (!table.withholdsAny()) {
+            listener.proven(at);
+        }
     }
 
     /**
      * Applies a list of all objects.
      *
-     * @param revision revision that the list is not older than
-     * @param graceMillis time in which a missing object may still be renewed
+     * @param position position that the list is not older than
+     * @param graceMillis time in which a missing object of the same era may still be written again
      */
-    List<ObjectChange> applyList(List<StoreItem> items, long revision, long graceMillis) {
+    List<ObjectChange> applyList(List<StoreItem> items, StorePosition position, long graceMillis) {
+        reached(position);
         List<ObjectChange> applied = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (StoreItem item : items) {
             names.add(item.name());
-            put(item, applied);
+            put(item, position.era(), applied);
         }
         for (ObjectTable.Version<StoreItem> missing : table.without(names)) {
             // Keeps objects that another host saw created after this list was made.
-            if (missing.revision() <= revision) {
-                delete(missing.name(), missing.revision(), graceMillis, revision, applied);
+            if (!missing.position().isAfter(position)) {
+                boolean lost = missing.position().era() < position.era();
+                delete(missing.name(), missing.position(), lost ? RENEWAL_MILLIS : graceMillis, position, applied);
             }
         }
         return applied;
@@ -77,13 +96,15 @@
 
     /** Applies the response to a watch. */
     List<ObjectChange> applyWatch(StoreChanges changes, long graceMillis) {
+        long era = changes.position().era();
         List<ObjectChange> applied = new ArrayList<>();
         for (StoreChanges.ChangedItem change : changes.changes()) {
             StoreItem item = change.item();
             if (change.deleted()) {
-                delete(item.name(), item.revision(), graceMillis, changes.revision(), applied);
+                StorePosition deleted = new StorePosition(era, item.revision());
+                delete(item.name(), deleted, graceMillis, changes.position(), applied);
             } else {
-                put(item, applied);
+                put(item, era, applied);
             }
         }
         return applied;
@@ -91,40 +112,82 @@
 
     /** Applies changes that another host received from the store. */
     void applyForwarded(ObjectChanges changes) {
+        StorePosition known = new StorePosition(changes.era(), changes.revision());
+        reached(known);
         List<ObjectChange> applied = new ArrayList<>();
         for (ObjectChange change : changes.changes()) {
             if (change.deleted()) {
-                delete(change.name(), change.revision(), change.graceMillis(), changes.revision(), applied);
+                StorePosition deleted = new StorePosition(change.era(), change.revision());
+                delete(change.name(), deleted, change.graceMillis(), known, applied);
             } else {
-                toItem(change).ifPresent(item -> put(item, applied));
+                toItem(change).ifPresent(item -> put(item, change.era(), applied));
             }
         }
     }
 
-    private void put(StoreItem item, List<ObjectChange> applied) {
-        if (table.put(item.name(), item.revision(), item)) {
-            applied.add(toChange(item));
-            try {
-                listener.changed(item);
-            } catch (RuntimeException e) {
-                // One object that its reader cannot take must not end the reading of the others.
-                loop.logFault(e);
-            }
+    private void reached(StorePosition position) {
+        if (table.reached(position)) {
+            log.event(
+                    "store.restored",
+                    line -> line.put("kind", kind).put("era", position.era()).put("revision", position.revision()));
+        }
+    }
+
+    private void put(StoreItem item, long era, List<ObjectChange> applied) {
+        StorePosition position = new StorePosition(era, item.revision());
+        if (table.put(item.name(), position, item)) {
+            applied.add(toChange(item, era));
+            tell(item);
+        } else if (table.isWithheld(item.name())) {
+            log.event(
+                    "store.object_withheld",
+                    line -> line.put("kind", kind)
+                            .put("name", item.name())
+                            .put("era", era)
+                            .put("revision", item.revision()));
+            listener.restoredLifetime()
+                    .ifPresent(lifetime -> loop.after(lifetime.toMillis(), () -> release(item.name(), position)));
+        }
+    }
+
+    /** Takes a withheld object as the restored store has it. */
+    private void release(String name, StorePosition position) {
+        table.release(name, position).ifPresent(version -> {
+            log.event("store.object_released", line -> line.put("kind", kind).put("name", name));
+            tell(version.value());
+        });
+    }
+
+    private void tell(StoreItem item) {
+        try {
+            listener.changed(item);
+        } catch (RuntimeException e) {
+            // One object that its reader cannot take must not end the reading of the others.
+            loop.logFault(e);
         }
     }
 
     private void delete(
-            String name, long deletedRevision, long graceMillis, long knownRevision, List<ObjectChange> applied) {
-        if (table.delete(name, deletedRevision)) {
-            applied.add(new ObjectChange(name, deletedRevision, true, graceMillis, NO_VALUE));
-            listener.deleted(name, graceMillis, knownRevision);
+            String name, StorePosition deleted, long graceMillis, StorePosition known, List<ObjectChange> applied) {
+        boolean lost = table.find(name)
+                .map(version -> version.position().era() < known.era())
+                .orElse(false);
+        if (table.delete(name, deleted)) {
+            applied.add(new ObjectChange(name, deleted.era(), deleted.revision(), true, graceMillis, NO_VALUE));
+            listener.deleted(new KindListener.Removal(name, graceMillis, lost, known));
         }
     }
 
-    private static ObjectChange toChange(StoreItem item) {
+    private static List<ObjectChange> toChanges(Collection<ObjectTable.Version<StoreItem>> versions) {
+        return versions.stream()
+                .map(version -> toChange(version.value(), version.position().era()))
+                .toList();
+    }
+
+    private static ObjectChange toChange(StoreItem item, long era) {
         try {
             RecordBytes value = RecordBytes.copyOf(MAPPER.writeValueAsBytes(item.value()));
-            return new ObjectChange(item.name(), item.revision(), false, 0, value);
+            return new ObjectChange(item.name(), era, item.revision(), false, 0, value);
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException("cannot encode " + item.name(), e);
         }
--- a/host/src/main/java/io/carawaylift/host/KindWatcher.java
+++ b/host/src/main/java/io/carawaylift/host/KindWatcher.java
@@ -1,9 +1,9 @@
 package io.carawaylift.host;
 
 import io.carawaylift.decisions.currency.CallChain;
-import io.carawaylift.decisions.currency.Confirmation;
 import io.carawaylift.decisions.currency.CurrencyTimes;
 import io.carawaylift.decisions.customer.ClockReading;
+import io.carawaylift.decisions.replica.StorePosition;
 import io.carawaylift.peer.Message.ObjectChange;
 import io.carawaylift.peer.Message.ObjectChanges;
 import io.carawaylift.peer.Message.ObjectPosition;
@@ -11,6 +11,7 @@
 import io.carawaylift.platform.store.ObjectStoreClient.ListMode;
 import io.carawaylift.platform.store.StoreChanges;
 import io.carawaylift.platform.store.StoreItem;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
@@ -28,9 +29,6 @@
     /** Delay beyond the timeout of a watch after which its response no longer shows the current state of the store. */
     private static final long MAX_RESPONSE_DELAY_NANOS = 600_000_000L;
 
-    /** Time after the store is reachable again in which live writers renew entries that expired meanwhile. */
-    private static final long ENTRY_RENEWAL_MILLIS = 2000;
-
     private final String kind;
     private final ObjectStoreClient store;
     private final EventLog log;
@@ -41,17 +39,15 @@
     private final CallSequence calls;
     private final CurrencyTimes times;
     private final CallChain chain;
-    private final Confirmation confirmation;
+    private final KindSource source;
     private final KindObjects objects;
+    private final KindProgress progress;
     private final KindWaits waits;
     private final KindAvailability availability;
     private final KindLister lister;
-    private long revision;
     private boolean fullyLoaded;
-    private boolean followsHost;
     private boolean listNeeded = true;
     private boolean replaced;
-    private long catchUpRevision;
     private ClockReading listStarted = ClockReading.now();
 
     /**
@@ -78,8 +74,9 @@
         this.listener = listener;
         this.times = relay.times();
         this.chain = new CallChain(times.responseAllowance());
-        this.confirmation = new Confirmation(times.confirmationLifetime());
+        this.source = new KindSource(kind, relay, listener, log);
         this.objects = new KindObjects(kind, loop, log, listener);
+        this.progress = new KindProgress(listener);
         this.calls = new CallSequence(loop, retries, this::nextCall);
         this.waits = new KindWaits(kind, relay);
         this.availability = new KindAvailability(kind, log);
@@ -106,9 +103,9 @@
         return fullyLoaded;
     }
 
-    /** Returns whether the last call to the store succeeded. */
-    boolean isAvailable() {
-        return availability.isAvailable();
+    /** Returns whether the store responds to the calls for the kind. */
+    KindAvailability availability() {
+        return availability;
     }
 
     /** Returns whether all calls for the kind were answered in time, so that other hosts may rely on its objects. */
@@ -121,27 +118,14 @@
         return chain;
     }
 
-    /** Returns the number of calls whose responses did not arrive in time. */
-    long lostResponses() {
-        return availability.lostResponses();
-    }
-
-    /** Returns the revision of the store up to which all changes are known. */
-    long revision() {
-        return revision;
+    /** Returns the position of the store up to which all changes are known. */
+    StorePosition storePosition() {
+        return progress.position();
     }
 
     /** Returns the milliseconds since the time that the last answered call proves, empty if no call was answered. */
     OptionalLong provenAgeMillis() {
-        long now = System.nanoTime();
-        return chain.provenNanos().stream()
-                .map(nanos -> TimeUnit.NANOSECONDS.toMillis(now - nanos))
-                .findFirst();
-    }
-
-    /** Returns the time in seconds since the store, or a host that follows it, last confirmed the known objects. */
-    double ageSeconds() {
-        return availability.ageSeconds();
+        return chain.provenAgeMillis(System.nanoTime());
     }
 
     /** Returns the time in seconds since the call in flight was sent, 0 if there is none. */
@@ -149,14 +133,22 @@
         return calls.callAgeSeconds();
     }
 
-    /** Returns the known revision and a digest of the objects, for comparison with another host. */
+    /** Returns the known position and a digest of the objects, for comparison with another host. */
     ObjectPosition position() {
-        return new ObjectPosition(kind, revision, objects.digest());
+        return new ObjectPosition(kind, storePosition().era(), storePosition().revision(), objects.digest());
     }
 
-    /** Returns all known objects. */
-    List<ObjectChange> objects() {
-        return objects.all();
+    /** Returns the known objects. */
+    KindObjects objects() {
+        return objects;
+    }
+
+    /** Lists the objects again if the store was restored since they were read, unless another host does that. */
+    void eraSeen(long era) {
+        if (progress.isOlderThanEra(era) && !source.isHost()) {
+            listNeeded = true;
+            replaceCall();
+        }
     }
 
     private void list(ListMode mode) {
@@ -167,8 +159,13 @@
     /** Applies what the lister reads. */
     private final class ListListener implements KindLister.Listener {
         @Override
-        public void listed(ListMode mode, List<StoreItem> items, long listRevision, long sentNanos) {
-            applyList(mode, items, listRevision, sentNanos);
+        public void listed(ListMode mode, List<StoreItem> items, StorePosition listed, long sentNanos) {
+            if (progress.position().era() > listed.era()) {
+                // A late response, or a copy that has not been restored yet.
+                failed(new IOException("list of the earlier era " + listed.era()));
+            } else {
+                applyList(mode, items, listed, sentNanos);
+            }
         }
 
         @Override
@@ -183,10 +180,11 @@
         }
     }
 
-    private void applyList(ListMode mode, List<StoreItem> items, long from, long sentNanos) {
-        List<ObjectChange> changes = objects.applyList(items, from, graceMillis());
+    private void applyList(ListMode mode, List<StoreItem> items, StorePosition from, long sentNanos) {
+        List<ObjectChange> changes =
+                objects.applyList(items, from, retries.remainingMillis(KindObjects.RENEWAL_MILLIS));
         relay.forwardChanges(kind, from, changes);
-        advance(from);
+        progress.advance(from);
         if (mode == ListMode.MAY_BE_OLD && !fullyLoaded) {
             // What left since then must not be used; the watch tells.
             watch();
@@ -196,20 +194,14 @@
         chain.answered(System.nanoTime(), sentNanos, Duration.ZERO);
         loaded("store", items.size());
         if (mode == ListMode.LATEST) {
-            listener.proven(listStarted);
+            objects.proven(listStarted);
         }
         relay.responded(System.nanoTime());
         relay.sendPositions();
+        relay.eraSeen(from.era());
         continueFollowing();
     }
 
-    private void advance(long knownRevision) {
-        if (knownRevision > revision) {
-            revision = knownRevision;
-            listener.caughtUp(revision);
-        }
-    }
-
     private void loaded(String source, int count) {
         if (!fullyLoaded) {
             log.event(
@@ -217,7 +209,7 @@
                     line -> line.put("kind", kind)
                             .put("source", source)
                             .put("objects", count)
-                            .put("revision", revision));
+                            .put("revision", progress.position().revision()));
         }
         fullyLoaded = true;
         listener.synchronizedWithStore();
@@ -246,21 +238,23 @@
     }
 
     /**
-     * Reads at once what is not known yet up to a revision, because another kind must not be acted on before. Does
+     * Reads at once what is not known yet up to a position, because another kind must not be acted on before. Does
      * nothing if another host follows the store for this one, since that host does it.
      */
-    void catchUp(long knownRevision) {
-        catchUpRevision = Math.max(catchUpRevision, knownRevision);
-        if (fullyLoaded && availability.isAvailable() && !followsHost && !listNeeded && revision < knownRevision) {
+    void catchUp(StorePosition wanted) {
+        progress.aim(wanted);
+        if (fullyLoaded
+                && availability.isAvailable()
+                && !source.isHost()
+                && !listNeeded
+                && wanted.isAfter(storePosition())) {
             replaceCall();
         }
     }
 
     private void continueFollowing() {
-        long remainingNanos = confirmation.remainingNanos(System.nanoTime());
-        boolean confirmed = remainingNanos > 0 && !relay.isRelay() && !listener.isOwnProofDue();
-        setFollowsHost(confirmed);
-        if (confirmed) {
+        long remainingNanos = source.decide(progress.position().revision());
+        if (remainingNanos > 0) {
             calls.pause(TimeUnit.NANOSECONDS.toMillis(remainingNanos) + 1);
         } else {
             watch();
@@ -269,50 +263,58 @@
 
     /** Reads the store now if its reader needs that; does nothing if a call is under way. */
     void readIfDue() {
-        if (followsHost && listener.isOwnProofDue()) {
+        if (source.isHost() && listener.isOwnProofDue()) {
             calls.resume();
         }
     }
 
-    private void setFollowsHost(boolean newValue) {
-        if (followsHost != newValue) {
-            followsHost = newValue;
-            log.event(
-                    "store.source",
-                    line -> line.put("kind", kind)
-                            .put("source", newValue ? "host" : "store")
-                            .put("revision", revision));
-        }
-    }
-
     private void watch() {
         ClockReading sent = ClockReading.now();
         long sentNanos = sent.monotonicNanos();
         Duration wait = watchWait(sentNanos);
-        long knownAfter = catchUpRevision;
+        StorePosition from = progress.position();
+        StorePosition knownAfter = progress.target();
         chain.sent(sentNanos, wait);
-        calls.await(store.watch(kind, revision, wait), wait.plus(times.responseAllowance()), (changes, failure) -> {
-            if (failure == null) {
-                watchAnswered(changes, sent, wait, knownAfter);
-            } else if (KindAvailability.isHistoryExpired(failure)) {
-                log.event("store.history_gone", line -> line.put("kind", kind).put("revision", revision));
-                chain.unanswered();
-                listNeeded = true;
-                list(ListMode.LATEST);
-            } else {
-                failed(failure);
-            }
-        });
+        calls.await(
+                store.watch(kind, from.revision(), wait), wait.plus(times.responseAllowance()), (changes, failure) -> {
+                    if (failure == null && !progress.isContinued(from, changes.position())) {
+                        watchAnsweredInOtherEra(changes.position().era());
+                    } else if (failure == null) {
+                        watchAnswered(changes, sent, wait, knownAfter);
+                    } else if (KindAvailability.isHistoryExpired(failure)) {
+                        availability.historyExpired(from.revision());
+                        listAgain();
+                    } else {
+                        failed(failure);
+                    }
+                });
+    }
+
+    /** Drops changes that are counted from a revision of another era: some of this era may be missing. */
+    private void watchAnsweredInOtherEra(long era) {
+        if (storePosition().era() > era) {
+            failed(new IOException("response of the earlier era " + era));
+            return;
+        }
+        listAgain();
     }
 
-    private void watchAnswered(StoreChanges changes, ClockReading sent, Duration wait, long knownAfter) {
+    private void listAgain() {
+        chain.unanswered();
+        listNeeded = true;
+        list(ListMode.LATEST);
+    }
+
+    private void watchAnswered(StoreChanges changes, ClockReading sent, Duration wait, StorePosition knownAfter) {
         long sentNanos = sent.monotonicNanos();
-        long graceMillis = availability.isAvailable() && !replaced && !availability.isReadAgain() ? 0 : graceMillis();
+        long graceMillis = availability.isAvailable() && !replaced && !availability.isReadAgain()
+                ? 0
+                : retries.remainingMillis(KindObjects.RENEWAL_MILLIS);
         succeeded();
         List<ObjectChange> applied = objects.applyWatch(changes, graceMillis);
-        relay.forwardChanges(kind, changes.revision(), applied);
-        // The store had reached the revision to catch up with before this watch was sent.
-        advance(Math.max(knownAfter, changes.revision()));
+        relay.forwardChanges(kind, changes.position(), applied);
+        // The store had reached the position to catch up with before this watch was sent.
+        progress.advance(StorePosition.max(knownAfter, changes.position()));
         long now = System.nanoTime();
         boolean empty = changes.changes().isEmpty();
         Duration pause = empty ? Duration.ZERO : waits.afterChange();
@@ -323,7 +325,7 @@
         listNeeded = false;
         // An empty response that came before the end of the wait shows nothing about that end.
         boolean waited = empty && now - sentNanos >= wait.toNanos();
-        listener.proven(waited ? sent.plusMillis(wait.toMillis()) : sent);
+        objects.proven(waited ? sent.plusMillis(wait.toMillis()) : sent);
         if (now - sentNanos < wait.toNanos() + MAX_RESPONSE_DELAY_NANOS) {
             relay.responded(now);
         }
@@ -341,10 +343,6 @@
         return wait.compareTo(listener.maxWatchWait()) < 0 ? wait : listener.maxWatchWait();
     }
 
-    private long graceMillis() {
-        return Math.max(0, ENTRY_RENEWAL_MILLIS - retries.millisSinceReachable());
-    }
-
     /** Applies changes that another host received from the store. */
     void applyChanges(ObjectChanges changes) {
         objects.applyForwarded(changes);
@@ -357,25 +355,26 @@
      * @param age time since the store last responded to that host
      */
     void applyPosition(ObjectPosition position, boolean current, Duration age) {
-        if (position.digest() != objects.digest()) {
+        StorePosition known = new StorePosition(position.era(), position.revision());
+        if (position.digest() != objects.digest() || progress.position().era() > known.era()) {
             return;
         }
         if (!fullyLoaded) {
             if (!current && availability.isAvailable()) {
                 // What left since that host knew must not be used; the list that is under way tells.
-                revision = Math.max(revision, position.revision());
+                progress.resumeFrom(known);
                 return;
             }
-            advance(position.revision());
+            progress.advance(known);
             listNeeded = false;
             loaded("host", objects.size());
         }
         if (!current || age.compareTo(times.confirmationLifetime()) >= 0) {
             return;
         }
-        advance(position.revision());
+        progress.advance(known);
         listNeeded = false;
-        confirmation.received(System.nanoTime(), age);
+        source.confirmation().received(System.nanoTime(), age);
         succeeded();
     }
 
--- a/host/src/main/java/io/carawaylift/host/StoreConnections.java
+++ b/host/src/main/java/io/carawaylift/host/StoreConnections.java
@@ -2,6 +2,7 @@
 
 import io.carawaylift.host.OutboundConnection.ResponseLimits;
 import io.carawaylift.model.RecordBytes;
+import io.carawaylift.platform.store.StoreEra;
 import io.carawaylift.platform.store.StoreTransport;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -35,6 +36,7 @@
     private final HostMetrics metrics;
     private final PeerFaults peerFaults;
     private final Deque<OutboundConnection> idle = new ArrayDeque<>();
+    private long era;
 
     StoreConnections(HostLoop loop, InetSocketAddress address, HostMetrics metrics, PeerFaults peerFaults) {
         this.loop = loop;
@@ -90,7 +92,9 @@
                 RecordBytes bytes = RecordBytes.copyOf(ByteBufUtil.getBytes(response.body()));
                 response.discard();
                 release(connection);
-                result.complete(new Response(response.status(), bytes));
+                // A response without the header is one of the known era.
+                era = StoreEra.parse(response.headers().get(StoreEra.HEADER)).orElse(era);
+                result.complete(new Response(response.status(), bytes, era));
             }
 
             @Override
--- a/host/src/main/java/io/carawaylift/host/StoreRelay.java
+++ b/host/src/main/java/io/carawaylift/host/StoreRelay.java
@@ -3,6 +3,7 @@
 import io.carawaylift.decisions.currency.CallChain;
 import io.carawaylift.decisions.currency.CurrencyTimes;
 import io.carawaylift.decisions.currency.WatchSpacing;
+import io.carawaylift.decisions.replica.StorePosition;
 import io.carawaylift.peer.Connection;
 import io.carawaylift.peer.Message;
 import io.carawaylift.peer.Message.ObjectChange;
@@ -131,17 +132,23 @@
         respondedNanos = now;
     }
 
+    /** Reads all kinds again that were read before the store was restored. */
+    void eraSeen(long era) {
+        watchers.values().forEach(watcher -> watcher.eraSeen(era));
+    }
+
     /** Returns whether the last call for each kind succeeded. */
     boolean reachesStore() {
-        return watchers.values().stream().allMatch(KindWatcher::isAvailable);
+        return watchers.values().stream()
+                .allMatch(watcher -> watcher.availability().isAvailable());
     }
 
     /** Forwards changes that this host received from the store, if it is the relay. */
-    void forwardChanges(String kind, long revision, List<ObjectChange> changes) {
+    void forwardChanges(String kind, StorePosition position, List<ObjectChange> changes) {
         if (changes.isEmpty() || !region.isRelay()) {
             return;
         }
-        inMessages(kind, revision, changes).forEach(region::send);
+        inMessages(kind, position, changes).forEach(region::send);
     }
 
     private void sendPositionsIfDue() {
@@ -180,9 +187,12 @@
     /** Requests the objects that this host could not read from the store so far from a newly connected host. */
     void connectionOpened(Connection connection) {
         for (KindWatcher watcher : watchers.values()) {
-            if (!watcher.isFullyLoaded() && !watcher.isAvailable()) {
+            if (!watcher.isFullyLoaded() && !watcher.availability().isAvailable()) {
                 connection.send(new Message.ObjectsRequest(watcher.kind()));
             }
+            // A host that read the restored store only does not know them.
+            List<ObjectChange> newerThanStore = watcher.objects().newerThanStore();
+            inMessages(watcher.kind(), watcher.storePosition(), newerThanStore).forEach(connection::send);
         }
     }
 
@@ -204,7 +214,10 @@
         } else if (message instanceof Message.ObjectsRequest request) {
             KindWatcher watcher = watchers.get(request.kind());
             if (watcher != null && watcher.isFullyLoaded()) {
-                inMessages(request.kind(), watcher.revision(), watcher.objects())
+                inMessages(
+                                request.kind(),
+                                watcher.storePosition(),
+                                watcher.objects().all())
                         .forEach(connection::send);
                 connection.send(new Message.ObjectPositions(false, 0, List.of(watcher.position())));
             }
@@ -213,11 +226,12 @@
         }
     }
 
-    private static List<Message> inMessages(String kind, long revision, List<ObjectChange> changes) {
+    private static List<Message> inMessages(String kind, StorePosition position, List<ObjectChange> changes) {
         List<Message> messages = new ArrayList<>();
         for (int from = 0; from < changes.size(); from += OBJECTS_PER_MESSAGE) {
             int to = Math.min(changes.size(), from + OBJECTS_PER_MESSAGE);
-            messages.add(new Message.ObjectChanges(kind, revision, changes.subList(from, to)));
+            messages.add(
+                    new Message.ObjectChanges(kind, position.era(), position.revision(), changes.subList(from, to)));
         }
         return messages;
     }
--- a/host/src/main/java/io/carawaylift/host/StoreRetries.java
+++ b/host/src/main/java/io/carawaylift/host/StoreRetries.java
@@ -77,6 +77,11 @@
         return unreachable ? 0 : (System.nanoTime() - reachableSinceNanos) / 1_000_000;
     }
 
+    /** Returns what is left of a time in milliseconds that begins when the store becomes reachable, at least 0. */
+    long remainingMillis(long millis) {
+        return Math.max(0, millis - millisSinceReachable());
+    }
+
     private void schedule() {
         if (scheduled) {
             return;
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -6,6 +6,8 @@
 import io.carawaylift.decisions.fleet.EndpointEntry;
 import io.carawaylift.decisions.fleet.EndpointRegistry;
 import io.carawaylift.decisions.fleet.EndpointStatus;
+import io.carawaylift.decisions.replica.StorePosition;
+import io.carawaylift.decisions.replica.WriterMark;
 import io.carawaylift.decisions.route.RouteTable;
 import io.carawaylift.model.CarawayliftException;
 import io.carawaylift.platform.store.ConfigurationDecoder;
@@ -15,10 +17,8 @@
 import io.carawaylift.platform.store.StoreItem;
 import io.carawaylift.platform.store.StoreKinds;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -28,14 +28,18 @@
  * event loop only.
  */
 final class StoreView {
+    /** Delay until the removal of an entry that expired is known. */
+    private static final Duration RENEWAL_DELAY = Duration.ofSeconds(1);
+
     private final EndpointRegistry registry;
-    private final HostLoop loop;
     private final EventLog log;
     private final EndpointDecoder endpointDecoder;
     private final List<KindWatcher> watchers;
     private final KindWatcher endpoints;
     private final HeldRemovals heldEvacuations = new HeldRemovals();
-    private final Map<String, HostLoop.Timer> removals = new HashMap<>();
+    private final DelayedRemovals endpointRemovals;
+    private final DelayedRemovals evacuationRemovals;
+    private final Duration restoredEntryLifetime;
     private final Set<String> evacuated = new HashSet<>();
     private final Set<String> ignoredEntries = new HashSet<>();
     private Consumer<EndpointStatus> onUnusable = endpoint -> {};
@@ -52,11 +56,13 @@
             StoreRelay relay,
             HostLoop loop,
             EventLog log,
-            Map<String, String> regionsByZone) {
+            HostOptions options) {
         this.registry = registry;
-        this.loop = loop;
         this.log = log;
-        this.endpointDecoder = new EndpointDecoder(regionsByZone);
+        this.endpointDecoder = new EndpointDecoder(options.regionsByZone());
+        this.restoredEntryLifetime = options.bounds().entryExpiry().plus(RENEWAL_DELAY);
+        this.endpointRemovals = new DelayedRemovals(loop);
+        this.evacuationRemovals = new DelayedRemovals(loop);
         this.endpoints = new KindWatcher(
                 StoreKinds.ENDPOINTS, ListMode.MAY_BE_OLD, store, retries, relay, loop, log, new EndpointListener());
         this.watchers = List.of(
@@ -156,8 +162,13 @@
         }
 
         @Override
-        public void deleted(String name, long graceMillis, long knownRevision) {
-            log.event("configuration.deleted", line -> line.put("name", name));
+        public void deleted(Removal removal) {
+            log.event("configuration.deleted", line -> line.put("name", removal.name()));
+        }
+
+        @Override
+        public Optional<WriterMark> mark(StoreItem item) {
+            return ConfigurationDecoder.mark(item);
         }
 
         @Override
@@ -193,7 +204,7 @@
             }
             ignoredEntries.remove(item.name());
             EndpointEntry entry = decoded.get();
-            cancelRemoval(entry.id());
+            endpointRemovals.cancel(entry.id());
             Optional<EndpointStatus> before = registry.find(entry.id());
             boolean wasUsable = before.isPresent() && registry.isUsable(before.get());
             if (before.isPresent() && !before.get().entry().sameIncarnation(entry)) {
@@ -215,13 +226,21 @@
         }
 
         @Override
-        public void deleted(String name, long graceMillis, long knownRevision) {
+        public void deleted(Removal removal) {
+            String name = removal.name();
             ignoredEntries.remove(name);
-            if (graceMillis > 0) {
-                removals.put(name, loop.after(graceMillis, () -> remove(name, "not back after the store returned")));
-            } else {
-                remove(name, "deleted");
-            }
+            String reason = removal.graceMillis() > 0 ? "not back after the store returned" : "deleted";
+            endpointRemovals.remove(name, removal.graceMillis(), () -> remove(name, reason));
+        }
+
+        @Override
+        public Optional<WriterMark> mark(StoreItem item) {
+            return EndpointDecoder.mark(item);
+        }
+
+        @Override
+        public Optional<Duration> restoredLifetime() {
+            return Optional.of(restoredEntryLifetime);
         }
 
         @Override
@@ -231,12 +250,12 @@
         }
 
         @Override
-        public void caughtUp(long revision) {
-            heldEvacuations.release(revision).forEach(StoreView.this::endEvacuation);
+        public void caughtUp(StorePosition position) {
+            heldEvacuations.release(position).forEach(StoreView.this::endEvacuation);
         }
 
         private void remove(String name, String reason) {
-            cancelRemoval(name);
+            endpointRemovals.cancel(name);
             Optional<EndpointStatus> status = registry.find(name);
             if (status.isEmpty()) {
                 return;
@@ -246,18 +265,12 @@
             onUnusable.accept(status.get());
             onChange.run();
         }
-
-        private void cancelRemoval(String name) {
-            HostLoop.Timer removal = removals.remove(name);
-            if (removal != null) {
-                removal.cancel();
-            }
-        }
     }
 
     private final class EvacuationListener implements KindListener {
         @Override
         public void changed(StoreItem item) {
+            evacuationRemovals.cancel(item.name());
             heldEvacuations.cancel(item.name());
             if (evacuated.add(item.name())) {
                 updateEvacuation(item.name(), true);
@@ -265,19 +278,25 @@
         }
 
         @Override
-        public void deleted(String name, long graceMillis, long knownRevision) {
-            if (endpoints.revision() >= knownRevision) {
-                endEvacuation(name);
+        public void deleted(Removal removal) {
+            // The operators write an evacuation again that a restored store has lost.
+            evacuationRemovals.remove(
+                    removal.name(), removal.lost() ? removal.graceMillis() : 0, () -> removed(removal));
+        }
+
+        private void removed(Removal removal) {
+            if (!removal.known().isAfter(endpoints.storePosition())) {
+                endEvacuation(removal.name());
                 return;
             }
             // Endpoints of the zone may have become cold before the evacuation was removed.
             log.event(
                     "zone.evacuation_held",
-                    line -> line.put("zone", name)
-                            .put("removedAt", knownRevision)
-                            .put("endpointsAt", endpoints.revision()));
-            heldEvacuations.hold(name, knownRevision);
-            endpoints.catchUp(knownRevision);
+                    line -> line.put("zone", removal.name())
+                            .put("removedAt", removal.known().revision())
+                            .put("endpointsAt", endpoints.storePosition().revision()));
+            heldEvacuations.hold(removal.name(), removal.known());
+            endpoints.catchUp(removal.known());
         }
 
         @Override
--- a/host/src/test/java/io/carawaylift/host/KindWatcherTest.java
+++ b/host/src/test/java/io/carawaylift/host/KindWatcherTest.java
@@ -62,7 +62,7 @@
             }
 
             @Override
-            public void deleted(String name, long graceMillis, long knownRevision) {}
+            public void deleted(Removal removal) {}
 
             @Override
             public void synchronizedWithStore() {}
--- a/host/src/test/java/io/carawaylift/host/MalformedPeerMessageTest.java
+++ b/host/src/test/java/io/carawaylift/host/MalformedPeerMessageTest.java
@@ -29,6 +29,8 @@
         fixture = new HostFixture();
         fixture.configure(1);
         fixture.addEndpoint("e-1");
+        // A host may be ready before it knows an endpoint that was added after its first list.
+        fixture.awaitLine("endpoint.listed", "e-1");
         HostFixture.await(this::isReady);
     }
 
@@ -72,13 +74,15 @@
                 new Message.RegionReports(List.of(
                         new Message.RegionReport("region-a", 1, List.of(report("x", "region-a", null)), Map.of()),
                         new Message.RegionReport(null, 1, List.of(), Map.of()))),
-                new Message.ObjectChanges(null, 0, List.of()),
+                new Message.ObjectChanges(null, 0, 0, List.of()),
                 new Message.ObjectChanges(
                         "servers",
+                        1,
                         0,
-                        List.of(new Message.ObjectChange("e-9", 900, false, 0, RecordBytes.of("no json")))),
-                new Message.ObjectChanges("servers", 0, List.of(new Message.ObjectChange("e-9", 901, false, 0, null))),
-                new Message.ObjectPositions(true, 0, List.of(new Message.ObjectPosition(null, 1, 1))),
+                        List.of(new Message.ObjectChange("e-9", 1, 900, false, 0, RecordBytes.of("no json")))),
+                new Message.ObjectChanges(
+                        "servers", 1, 0, List.of(new Message.ObjectChange("e-9", 1, 901, false, 0, null))),
+                new Message.ObjectPositions(true, 0, List.of(new Message.ObjectPosition(null, 1, 1, 1))),
                 new Message.ObjectsRequest(null));
         try (PeerNetwork network = PeerNetwork.builder().build()) {
             PeerLink link = network.connect(
--- a/peer/src/main/java/io/carawaylift/peer/Message.java
+++ b/peer/src/main/java/io/carawaylift/peer/Message.java
@@ -186,9 +186,10 @@
      * Changes of objects of one kind that the sender received from the platform.
      *
      * @param kind kind of the objects in the platform
+     * @param era era of the platform's store that {@code revision} belongs to, 0 if it names none
      * @param revision platform revision at which the deleted objects were gone, or a later one
      */
-    record ObjectChanges(String kind, long revision, List<ObjectChange> changes) implements Message {
+    record ObjectChanges(String kind, long era, long revision, List<ObjectChange> changes) implements Message {
         public ObjectChanges {
             changes = List.copyOf(changes);
         }
@@ -197,11 +198,12 @@
     /**
      * A new version of an object, or its deletion.
      *
+     * @param era era of the platform's store that {@code revision} belongs to, 0 if it names none
      * @param revision revision of the version, or of the last one of a deleted object
      * @param graceMillis for a deleted object, how long it may still reappear because the platform was unavailable
      * @param value JSON; empty for a deleted object
      */
-    record ObjectChange(String name, long revision, boolean deleted, long graceMillis, RecordBytes value) {}
+    record ObjectChange(String name, long era, long revision, boolean deleted, long graceMillis, RecordBytes value) {}
 
     /**
      * Positions of the sender in the changes of some kinds, sent after all changes up to them.
@@ -219,10 +221,11 @@
     /**
      * Position of the sender in the changes of one kind.
      *
+     * @param era era of the platform's store that {@code revision} belongs to, 0 if it names none
      * @param revision platform revision from which the sender continues to watch
-     * @param digest digest of the names and revisions of all objects
+     * @param digest digest of the names, eras and revisions of all objects
      */
-    record ObjectPosition(String kind, long revision, long digest) {}
+    record ObjectPosition(String kind, long era, long revision, long digest) {}
 
     /**
      * An endpoint announced in a response that it is about to stop. A relay passes the message on once.
--- a/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/MessageCodecTest.java
@@ -45,11 +45,12 @@
                 new Message.HostReport("host-1", "r", "d", 7L, "10.0.0.1:80", true, false, 0.6, Map.of("service", 1.5)),
                 new Message.ObjectChanges(
                         "kind",
+                        3,
                         7,
                         List.of(
-                                new Message.ObjectChange("a", 5, false, 0, RecordBytes.of("{}")),
-                                new Message.ObjectChange("b", 6, true, 1500, RecordBytes.of("")))),
-                new Message.ObjectPositions(true, 250, List.of(new Message.ObjectPosition("kind", 9, -7))),
+                                new Message.ObjectChange("a", 2, 5, false, 0, RecordBytes.of("{}")),
+                                new Message.ObjectChange("b", 3, 6, true, 1500, RecordBytes.of("")))),
+                new Message.ObjectPositions(true, 250, List.of(new Message.ObjectPosition("kind", 3, 9, -7))),
                 new Message.ObjectsRequest("kind"),
                 new Message.EndpointLeaving("endpoint-1", 7L),
                 new Message.FreshnessRequest(5),
--- a/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
+++ b/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
@@ -23,14 +23,14 @@
 
 /**
  * In-memory HTTP server that simulates the users' object store: paged lists, watches, conditional writes, a discarded event
- * history and outages. Thread-safe.
+ * history, outages and the return to an older copy. Thread-safe.
  */
 public final class SimulatedStore implements AutoCloseable {
     private static final String OBJECTS = "/v1/objects/";
     private static final int PAGE_SIZE = 3;
 
     private final ObjectMapper mapper = new ObjectMapper();
-    private final Map<String, TreeMap<String, ObjectNode>> objectsByKind = new HashMap<>();
+    private Map<String, TreeMap<String, ObjectNode>> objectsByKind = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final HttpServer server;
@@ -45,6 +45,10 @@
     private String kindOfLostResponse = "";
     private int callCount;
     private Map<String, TreeMap<String, ObjectNode>> oldObjectsByKind;
+    private Copy copy;
+    private long era = 1;
+
+    private record Copy(long revision, Map<String, TreeMap<String, ObjectNode>> objectsByKind) {}
 
     private record Event(long revision, String kind, ObjectNode object, boolean deleted) {}
 
@@ -141,8 +145,36 @@
 
     /** Answers lists that may be old with the objects as they are now, until this is called again. */
     public synchronized void keepForOldLists() {
-        oldObjectsByKind = new HashMap<>();
-        objectsByKind.forEach((kind, objects) -> oldObjectsByKind.put(kind, new TreeMap<>(objects)));
+        oldObjectsByKind = copyOfObjects().objectsByKind();
+    }
+
+    /** Keeps a copy of all objects for {@link #restore}. */
+    public synchronized void keepCopy() {
+        copy = copyOfObjects();
+    }
+
+    /**
+     * Goes back to the copy and starts a new era: later changes are gone and their revisions are assigned again. Watches
+     * that wait are cut off.
+     */
+    public synchronized void restore() {
+        objectsByKind = copy.objectsByKind();
+        revision = copy.revision();
+        copy = null;
+        history.clear();
+        oldestKnownRevision = revision;
+        era++;
+        notifyAll();
+    }
+
+    private Copy copyOfObjects() {
+        Map<String, TreeMap<String, ObjectNode>> copied = new HashMap<>();
+        objectsByKind.forEach((kind, objects) -> copied.put(kind, new TreeMap<>(objects)));
+        return new Copy(revision, copied);
+    }
+
+    private synchronized long era() {
+        return era;
     }
 
     /** Returns the number of calls received so far. */
@@ -189,6 +221,7 @@
                     };
             byte[] body = mapper.writeValueAsBytes(response.body());
             exchange.getResponseHeaders().set("Content-Type", "application/json");
+            exchange.getResponseHeaders().set("Store-Era", Long.toString(era()));
             exchange.sendResponseHeaders(response.status(), body.length);
             exchange.getResponseBody().write(body);
         } catch (InterruptedException e) {
@@ -238,6 +271,7 @@
     private Response watch(String kind, long fromRevision, long waitMillis) throws InterruptedException {
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
         int silencesBefore = silences;
+        long eraBefore = era;
         while (true) {
             holdIfSilent(silencesBefore);
             if (kindOfLostResponse.equals(kind)) {
@@ -247,7 +281,10 @@
             if (rejectionStatus != 0) {
                 return new Response(rejectionStatus, mapper.createObjectNode());
             }
-            if (fromRevision < oldestKnownRevision) {
+            if (era != eraBefore) {
+                return new Response(503, mapper.createObjectNode());
+            }
+            if (fromRevision < oldestKnownRevision || fromRevision > revision) {
                 return new Response(410, mapper.createObjectNode());
             }
             ObjectNode response = mapper.createObjectNode();
