Demand keys of an empty table of customers

What callers saw: when the last customer was removed, requests with its withdrawn key, and with keys that never existed, ran. Cause: a configuration without the table of customers and one with an empty table were the same to CustomerDirectory.isEmpty; both demanded no key and no proof. Fix: KeyUse tells three cases apart: no table ignores keys, a table demands them, even if it is empty, and a removed table refuses every key. A host with strict revocation that starts without the table takes it as removed. The new test of CustomerRequestsTest got 200 instead of 401 on the code before.

--- a/decisions/src/main/java/io/carawaylift/decisions/customer/Authorization.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/customer/Authorization.java
@@ -20,14 +20,19 @@
      * @param keys keys that the request carries; several identify no customer
      */
     public static Authorization of(CustomerDirectory customers, boolean publicAccess, List<String> keys) {
-        if (publicAccess || customers.isEmpty()) {
+        if (publicAccess) {
             return ANONYMOUS;
         }
-        if (keys.size() != 1) {
-            return REFUSED;
-        }
+        return switch (customers.keyUse()) {
+            case IGNORED -> ANONYMOUS;
+            case WITHDRAWN -> keys.isEmpty() ? ANONYMOUS : REFUSED;
+            case REQUIRED -> keys.size() == 1 ? ofKey(customers, keys.get(0)) : REFUSED;
+        };
+    }
+
+    private static Authorization ofKey(CustomerDirectory customers, String key) {
         return customers
-                .byKey(keys.get(0))
+                .byKey(key)
                 .map(customer -> new Authorization(true, Optional.of(customer)))
                 .orElse(REFUSED);
     }
--- a/decisions/src/main/java/io/carawaylift/decisions/customer/CustomerDirectory.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/customer/CustomerDirectory.java
@@ -11,8 +11,13 @@
 
 /** Finds customers by their keys. Immutable. */
 public final class CustomerDirectory {
-    /** A directory without customers; requests then need no key. */
-    public static final CustomerDirectory EMPTY = new CustomerDirectory(Map.of());
+    /** The directory of a configuration without a table of customers. */
+    public static final CustomerDirectory EMPTY = new CustomerDirectory(KeyUse.IGNORED, Map.of(), List.of());
+
+    /** The directory of a configuration without a table of customers that replaced one with a table. */
+    public static final CustomerDirectory REMOVED = new CustomerDirectory(KeyUse.WITHDRAWN, Map.of(), List.of());
+
+    private final KeyUse keyUse;
 
     private final Map<String, Customer> byKey;
     private final Map<String, Customer> byName;
@@ -29,7 +34,7 @@
     public record IgnoredEntry(int row, String name, String reason) {}
 
     /**
-     * Creates a directory. A key that several customers hold identifies none of them.
+     * Creates a directory of a table of customers. A key that several customers hold identifies none of them.
      *
      * @param keysByCustomer keys of each customer
      */
@@ -38,11 +43,17 @@
     }
 
     /**
-     * Creates a directory of a configuration in which some entries define no customer.
+     * Creates a directory of a table of customers in which some entries define none.
      *
      * @param keysByCustomer keys of each customer
      */
     public CustomerDirectory(Map<Customer, Set<String>> keysByCustomer, List<IgnoredEntry> ignoredEntries) {
+        this(KeyUse.REQUIRED, keysByCustomer, ignoredEntries);
+    }
+
+    private CustomerDirectory(
+            KeyUse keyUse, Map<Customer, Set<String>> keysByCustomer, List<IgnoredEntry> ignoredEntries) {
+        this.keyUse = keyUse;
         Map<String, Customer> keys = new HashMap<>();
         Map<String, Customer> names = new HashMap<>();
         Set<String> sharedKeys = new HashSet<>();
@@ -65,12 +76,17 @@
         this.customersWithSharedKeys = Set.copyOf(sharing);
     }
 
+    /** Returns what the configuration demands of keys; never null. A table without valid entries opens no route. */
+    public KeyUse keyUse() {
+        return keyUse;
+    }
+
     /**
-     * Returns whether the configuration has no customers, so that requests need no key. An ignored entry counts as a
-     * customer here: a mistake in the only entry must not open all routes.
+     * Returns the directory that applies after an earlier one: this one, or {@link #REMOVED} if the table of customers was
+     * removed.
      */
-    public boolean isEmpty() {
-        return byName.isEmpty() && ignoredEntries.isEmpty();
+    public CustomerDirectory after(CustomerDirectory earlier) {
+        return keyUse == KeyUse.IGNORED && earlier.keyUse != KeyUse.IGNORED ? REMOVED : this;
     }
 
     /** Returns all customers. */
--- a/decisions/src/main/java/io/carawaylift/decisions/route/RouteTable.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/route/RouteTable.java
@@ -51,7 +51,7 @@
         return limits;
     }
 
-    /** Returns the customers; requests need no key if there are none. */
+    /** Returns the customers, and whether requests need their keys. */
     public CustomerDirectory customers() {
         return customers;
     }
--- a/decisions/src/test/java/io/carawaylift/decisions/customer/AuthorizationTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/customer/AuthorizationTest.java
@@ -76,6 +76,30 @@
                 .isTrue();
     }
 
+    /** Guards against an empty table that opens all routes. */
+    @Test
+    void noKeyIsValidIfTheTableIsEmpty() {
+        CustomerDirectory empty = new CustomerDirectory(Map.of());
+
+        assertThat(Authorization.of(empty, false, List.of("key-s")).allowed()).isFalse();
+        assertThat(Authorization.of(empty, false, List.of()).allowed()).isFalse();
+        assertThat(Authorization.of(empty, true, List.of()).allowed()).isTrue();
+    }
+
+    /** Guards against withdrawn keys that are valid because the whole table was removed. */
+    @Test
+    void noKeyIsValidAfterTheTableWasRemoved() {
+        CustomerDirectory removed = CustomerDirectory.EMPTY.after(CUSTOMERS);
+
+        assertThat(Authorization.of(removed, false, List.of("key-s")).allowed()).isFalse();
+        assertThat(Authorization.of(removed, false, List.of("any")).allowed()).isFalse();
+        assertThat(Authorization.of(removed, false, List.of()).allowed()).isTrue();
+        assertThat(CustomerDirectory.EMPTY.after(removed).keyUse()).isEqualTo(KeyUse.WITHDRAWN);
+        assertThat(CUSTOMERS.after(removed)).isEqualTo(CUSTOMERS);
+        assertThat(CustomerDirectory.EMPTY.after(CustomerDirectory.EMPTY).keyUse())
+                .isEqualTo(KeyUse.IGNORED);
+    }
+
     /** Guards against a mistake in the only entry that opens all routes. */
     @Test
     void aKeyIsNeededIfTheOnlyEntryIsMalformed() {
--- a/host/src/main/java/io/carawaylift/host/CustomerEvents.java
+++ b/host/src/main/java/io/carawaylift/host/CustomerEvents.java
@@ -1,12 +1,16 @@
 package io.carawaylift.host;
 
 import io.carawaylift.decisions.customer.CustomerDirectory;
+import io.carawaylift.decisions.customer.KeyUse;
 
 /** Logs which customers of a configuration cannot send requests. No line contains a key. */
 final class CustomerEvents {
     private CustomerEvents() {}
 
     static void log(CustomerDirectory customers, EventLog log) {
+        if (customers.keyUse() == KeyUse.WITHDRAWN) {
+            log.event("customer.table_removed", line -> line.put("reason", "requests with a key are refused"));
+        }
         for (CustomerDirectory.IgnoredEntry entry : customers.ignoredEntries()) {
             log.event(
                     "customer.ignored",
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -1,5 +1,6 @@
 package io.carawaylift.host;
 
+import io.carawaylift.decisions.customer.KeyUse;
 import io.carawaylift.decisions.dispatch.ServiceDispatcher;
 import io.carawaylift.decisions.dispatch.ServicePlan;
 import io.carawaylift.decisions.fleet.EndpointEntry;
@@ -238,7 +239,7 @@
      * sized: with those for scarce capacity, desk lookups at endpoints of uneven speed were in time half as often.
      */
     boolean isScarce() {
-        return !storeView.customers().isEmpty();
+        return storeView.customers().keyUse() == KeyUse.REQUIRED;
     }
 
     /**
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -2,6 +2,7 @@
 
 import io.carawaylift.decisions.currency.CurrencyTimes;
 import io.carawaylift.decisions.customer.ClockReading;
+import io.carawaylift.decisions.customer.KeyUse;
 import io.carawaylift.decisions.fleet.EndpointRegistry;
 import io.carawaylift.decisions.quota.QuotaTerms;
 import io.carawaylift.decisions.route.CallerLimits;
@@ -243,7 +244,7 @@
     private final class FreshnessState implements ConfigurationFreshness.State {
         @Override
         public boolean isProofRequired() {
-            return options.bounds().strictRevocation() && !storeView.customers().isEmpty();
+            return options.bounds().strictRevocation() && storeView.customers().keyUse() != KeyUse.IGNORED;
         }
 
         @Override
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -46,6 +46,7 @@
     private Runnable onChange = () -> {};
     private ConfigurationFreshness freshness;
     private RouteTable table;
+    private CustomerDirectory customers;
     private boolean endpointsKnown;
     private boolean evacuationsKnown;
 
@@ -59,6 +60,10 @@
             HostOptions options) {
         this.registry = registry;
         this.log = log;
+        // A host that starts does not know whether the first configuration replaced one with customers. Where
+        // revocation is
+        // strict, there are customers.
+        this.customers = options.bounds().strictRevocation() ? CustomerDirectory.REMOVED : CustomerDirectory.EMPTY;
         this.endpointDecoder = new EndpointDecoder(options.regionsByZone());
         this.restoredEntryLifetime = options.bounds().entryExpiry().plus(RENEWAL_DELAY);
         this.endpointRemovals = new DelayedRemovals(loop);
@@ -117,7 +122,7 @@
 
     /** Returns the customers of the latest valid configuration, none if no configuration is known yet. */
     CustomerDirectory customers() {
-        return table == null ? CustomerDirectory.EMPTY : table.customers();
+        return customers;
     }
 
     /** Returns the number of entries of endpoints in the store that cannot be used. */
@@ -152,12 +157,13 @@
                 return;
             }
             table = decodedTable;
+            customers = decodedTable.customers().after(customers);
             log.event(
                     "configuration.in_force",
                     line -> line.put("version", decodedTable.version())
                             .put("revision", item.revision())
                             .put("routes", decodedTable.size()));
-            CustomerEvents.log(decodedTable.customers(), log);
+            CustomerEvents.log(customers, log);
             onChange.run();
         }
 
--- a/host/src/test/java/io/carawaylift/host/CustomerRequestsTest.java
+++ b/host/src/test/java/io/carawaylift/host/CustomerRequestsTest.java
@@ -115,6 +115,23 @@
         assertThat(call("/open/1").status()).isEqualTo(200);
     }
 
+    /** Guards against routes that open to withdrawn and unknown keys with the removal of the last customer. */
+    @Test
+    void noKeyRunsAfterTheLastCustomerOrTheWholeTableWasRemoved() throws IOException {
+        configure(1, CUSTOMERS);
+        configure(2, ",\"tenants\":{\"columns\":[\"name\",\"apiKeys\"],\"rows\":[]}");
+        assertThat(call("/keyed/1", "X-Credential: secret-north").status()).isEqualTo(401);
+        assertThat(call("/keyed/1", "X-Credential: unknown").status()).isEqualTo(401);
+        assertThat(call("/keyed/1").status()).isEqualTo(401);
+
+        configure(3, "");
+        assertThat(call("/keyed/1", "X-Credential: secret-north").status()).isEqualTo(401);
+        assertThat(call("/keyed/1", "X-Credential: unknown").status()).isEqualTo(401);
+        assertThat(endpoint.requests()).isEmpty();
+        assertThat(call("/keyed/1").status()).isEqualTo(200);
+        assertThat(call("/open/1", "X-Credential: unknown").status()).isEqualTo(200);
+    }
+
     /** Guards against a request that runs outside the home regions of its customer. */
     @Test
     void aRequestRunsOnlyInTheHomeRegionsOfRouteAndCustomer() throws IOException {
