Read the store's objects in one pass, around any that are malformed

What callers saw: one entry of another writer with 256 values that are no JSON stopped the list of endpoints at every host. Requests went on to a drained endpoint; after a restart of all hosts nothing was served. Cause: JsonOutline parsed a response again for each malformed value and refused it after 200. Text that is no JSON and unpaired quotes or brackets failed it as well, and an entry of a megabyte was decoded whole. Fix: JsonScanner finds the ends of values in one pass. An object without a certain end is set aside and reading goes on behind its name or revision. The settings entries.max_bytes and entries.max_decode_ms bound what is decoded of one object.

--- a/host/src/main/java/io/carawaylift/host/HostOptions.java
+++ b/host/src/main/java/io/carawaylift/host/HostOptions.java
@@ -1,5 +1,6 @@
 package io.carawaylift.host;
 
+import io.carawaylift.platform.store.EntryLimits;
 import io.carawaylift.runtime.HostSettings;
 import io.carawaylift.runtime.Settings;
 import java.net.InetSocketAddress;
@@ -20,6 +21,7 @@
  * @param limits limits that operators set for all hosts together
  * @param bounds times and quotas within which all hosts must act
  * @param buffers bounds of what the host holds in memory
+ * @param entries bounds of what is decoded of one object in the store
  * @param pipelines bounds of what the host holds for callers that send requests before they have read the responses
  */
 record HostOptions(
@@ -35,6 +37,7 @@
         SharedLimits limits,
         Bounds bounds,
         BufferLimits buffers,
+        EntryLimits entries,
         PipelineLimits pipelines) {
     private static final double MAX_CORES = 1024;
     private static final double MIN_SECONDS = 0.1;
@@ -46,6 +49,10 @@
     /** Heartbeats that an endpoint misses before the store removes its entry. */
     private static final int HEARTBEATS_UNTIL_EXPIRY = 3;
 
+    /** Several times what a host or an endpoint writes. */
+    private static final int MIN_ENTRY_BYTES = 4096;
+
+    private static final Duration MIN_DECODE_TIME = Duration.ofMillis(10);
     private static final int MIN_BUFFER_BYTES = 64 * 1024;
     private static final int MAX_BUFFER_BYTES = 1024 * 1024 * 1024;
     private static final int DEFAULT_RESPONSE_BYTES = 8 * 1024 * 1024;
@@ -147,6 +154,14 @@
                         bytes(settings, "buffers.max_response_bytes", DEFAULT_RESPONSE_BYTES),
                         bytes(settings, "buffers.max_endpoint_bytes", DEFAULT_ENDPOINT_BYTES),
                         bytes(settings, "buffers.max_total_bytes", DEFAULT_TOTAL_BYTES)),
+                new EntryLimits(
+                        settings.integer(
+                                "entries.max_bytes", EntryLimits.DEFAULT.maxBytes(), MIN_ENTRY_BYTES, MAX_BUFFER_BYTES),
+                        settings.millis(
+                                "entries.max_decode_ms",
+                                EntryLimits.DEFAULT.maxDecodeTime(),
+                                MIN_DECODE_TIME,
+                                MAX_BOUND)),
                 new PipelineLimits(
                         settings.integer("pipelines.max_requests", 16, 1, MAX_PIPELINED_REQUESTS),
                         settings.integer("pipelines.max_concurrent_requests", 4, 1, MAX_PIPELINED_REQUESTS),
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -72,7 +72,9 @@
         this.peerFaults = new PeerFaults(log, metrics);
         this.loop = new HostLoop(group.next(), log);
         this.store = new ObjectStoreClient(
-                new StoreConnections(loop, options.store(), metrics, peerFaults), STORE_CALL_TIMEOUT);
+                new StoreConnections(loop, options.store(), metrics, peerFaults),
+                STORE_CALL_TIMEOUT,
+                options.entries());
         StoreRetries retries = new StoreRetries(loop);
         this.relay = new StoreRelay(CurrencyTimes.of(options.bounds().stabilityWindow()));
         this.storeView = new StoreView(registry, store, retries, relay, loop, log, options);
--- a/host/src/test/java/io/carawaylift/host/OddEntryTest.java
+++ b/host/src/test/java/io/carawaylift/host/OddEntryTest.java
@@ -77,6 +77,15 @@
                 Arguments.of("the name of a host", entry("address", "\"no-such-host.example:80\"")),
                 Arguments.of(
                         "half of a character", entry("service", "\"\\ud800\"").replace("ready", "other")),
+                Arguments.of("256 values that are no JSON", entry("other", "[" + "NaN,".repeat(255) + "NaN]")),
+                Arguments.of("200,000 values that are no JSON", entry("other", "[" + "x,".repeat(200_000) + "x]")),
+                Arguments.of("350,000 objects", entry("other", "[" + "{},".repeat(350_000) + "{}]")),
+                Arguments.of("text that is no JSON", "service: other"),
+                Arguments.of("a control character", entry("other", "\u0001")),
+                Arguments.of("a string without an end", entry("other", "\"x")),
+                Arguments.of("an object without an end", "{\"service\":\"service\""),
+                Arguments.of("an object with two ends", entry("other", "1") + "}"),
+                Arguments.of("an array that ends as an object", entry("other", "[1}")),
                 Arguments.of("an unknown escape", entry("other", "\"\\x\"")));
     }
 
