Refuse requests that come too late in a stop, and answer all before its end

Reported by operators of a similar system: in a planned stop of one host, in calm, requests that came late in the grace period were passed on and cut off at its end without a response, also requests that may not be repeated.

Cause: after the 2.6 s in which requests still arrive, a stopping host closed idle connections only. A connection with a request that was not yet complete stayed open, and the request was passed on however little time was left; so was one that waited for a slot or a retry. What was in progress at the end of the drain got no response.

A drain now opens a processing window. Requests that are complete after the accept phase are refused at once as not run, with Retry-After 0, since another host can take them. The dispatcher refuses work that may outlast the window. At 84 % of the grace period the host answers what remains: 503 if it did not run, 502 if it may have run; an endpoint that is still at work then is so in the last sixth of the grace period.

--- a/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
+++ b/decisions/src/main/java/io/carawaylift/decisions/dispatch/ServiceDispatcher.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntToDoubleFunction;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
@@ -29,6 +30,9 @@
     /** Fraction by which return times are spread, so that requests refused together do not return together. */
     private static final double RETURN_SPREAD = 0.5;
 
+    /** Multiple of the mean processing time that must be left before the host ends: some requests take longer. */
+    private static final double END_MARGIN = 1.5;
+
     private final String service;
     private final EndpointPicker picker;
     private final ProcessingTimes processingTimes;
@@ -38,6 +42,7 @@
     private final DoubleSupplier coldRate;
     private final Predicate<EndpointEntry> mayWarmUp;
     private final BooleanSupplier scarce;
+    private final LongUnaryOperator remainingNanos;
     private IntToDoubleFunction reservedFraction = rank -> 0;
 
     /** What happens to a request now. */
@@ -68,6 +73,7 @@
         this.coldRate = builder.coldRate;
         this.mayWarmUp = builder.mayWarmUp;
         this.scarce = builder.scarce;
+        this.remainingNanos = builder.remainingNanos;
     }
 
     /** Returns a builder. */
@@ -115,6 +121,9 @@
         if (request.deadlineNanos() - nowNanos < times.expectedMillis(true) * NANOS_PER_MILLI) {
             return refuse("the time left is shorter than the processing time");
         }
+        if (remainingNanos.applyAsLong(nowNanos) < END_MARGIN * times.meanMillis() * NANOS_PER_MILLI) {
+            return refuse("the host may end before the response");
+        }
         if (!picker.hasUsableEndpoint(service, request::mayRunIn)) {
             return refuse("no endpoint of the service is listed in a region where the request may run");
         }
@@ -250,6 +259,7 @@
         private DoubleSupplier coldRate = () -> 1;
         private Predicate<EndpointEntry> mayWarmUp = endpoint -> false;
         private BooleanSupplier scarce = () -> true;
+        private LongUnaryOperator remainingNanos = now -> Long.MAX_VALUE;
 
         private Builder() {}
 
@@ -310,6 +320,15 @@
             return this;
         }
 
+        /**
+         * Sets what returns, for a time, the nanoseconds for which this host processes requests; {@link Long#MAX_VALUE}
+         * if it is not stopping.
+         */
+        public Builder remainingNanos(LongUnaryOperator untilEnd) {
+            remainingNanos = Objects.requireNonNull(untilEnd, "untilEnd");
+            return this;
+        }
+
         /** Creates the dispatcher. */
         public ServiceDispatcher build() {
             return new ServiceDispatcher(this);
--- a/decisions/src/test/java/io/carawaylift/decisions/dispatch/ServiceDispatcherTest.java
+++ b/decisions/src/test/java/io/carawaylift/decisions/dispatch/ServiceDispatcherTest.java
@@ -72,6 +72,24 @@
         assertThat(dispatcher.decide(late, 0).verdict()).isEqualTo(Verdict.REFUSE);
     }
 
+    /** Guards against work that is cut off because the host ends before its response, also for a request that waits. */
+    @Test
+    void aRequestIsRefusedIfTheHostMayEndBeforeItsResponse() {
+        add("e-1", "home");
+        ServiceDispatcher ending = ServiceDispatcher.builder()
+                .service("service")
+                .picker(new EndpointPicker(registry, "zone-a"))
+                .processingTimes(new ProcessingTimes(500))
+                .shares(shares)
+                .regions(List.of("home", "away"))
+                .remainingNanos(now -> 5000 * MILLI - now)
+                .build();
+
+        assertThat(ending.decide(request(9000), 4200 * MILLI).verdict()).isEqualTo(Verdict.SEND);
+        assertThat(ending.decide(request(9000), 4300 * MILLI).verdict()).isEqualTo(Verdict.REFUSE);
+        assertThat(ending.decide(request(9000), 5100 * MILLI).verdict()).isEqualTo(Verdict.REFUSE);
+    }
+
     @Test
     void aRequestWaitsWhileItsEndpointIsOverloadedAndIsThenRefused() {
         occupy(add("e-1", "home"), 20);
--- a/host/src/main/java/io/carawaylift/host/CallerConnection.java
+++ b/host/src/main/java/io/carawaylift/host/CallerConnection.java
@@ -25,6 +25,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -333,6 +334,14 @@
         return !exchanges.isEmpty() || head != null || writing > 0 || (readingEnded && channel.isActive());
     }
 
+    /** Answers all requests in progress, and one that is not read whole, because the host ends. */
+    void answerAll() {
+        List.copyOf(exchanges).forEach(CallerExchange::hostEnds);
+        if (head != null) {
+            refuse(ResultCode.STOPPING, ResultCode.STOPPING.httpStatus());
+        }
+    }
+
     void closeIfIdle() {
         if (!isBusy()) {
             channel.close();
--- a/host/src/main/java/io/carawaylift/host/CallerExchange.java
+++ b/host/src/main/java/io/carawaylift/host/CallerExchange.java
@@ -93,6 +93,13 @@
         connection.responded(this);
     }
 
+    /** Answers the request if it is being processed, because the host ends. */
+    void hostEnds() {
+        if (request != null) {
+            request.hostEnds();
+        }
+    }
+
     /** Ends the exchange without a response: cancels the request and drops what is held. */
     void cancel() {
         if (body != null) {
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -104,6 +104,10 @@
 
     /** Finds the route and sends or queues the request. */
     void start() {
+        if (!forwarder.window().isAccepting()) {
+            finish(ResultCode.STOPPING, "the request arrived too late during the stop");
+            return;
+        }
         Optional<RouteTable> table = forwarder.usableTable();
         if (table.isEmpty()) {
             finish(ResultCode.NO_TABLE, "the configuration or the list of endpoints is not known yet");
@@ -216,7 +220,7 @@
             }
             case REFUSE -> {
                 queued = false;
-                refuse(ResultCode.QUEUE_FULL, decision.reason());
+                refuse(forwarder.window().isEnding() ? ResultCode.STOPPING : ResultCode.QUEUE_FULL, decision.reason());
                 return true;
             }
             case WAIT -> {
@@ -456,6 +460,13 @@
         }
     }
 
+    /** Answers the request now, because the host ends. */
+    void hostEnds() {
+        if (!finished) {
+            refuse(ResultCode.STOPPING, "the host ended before the response");
+        }
+    }
+
     /** Handles the disconnect of the caller: cancels an idempotent request; any other runs to its end. */
     void callerDisconnected() {
         if (finished) {
@@ -510,7 +521,9 @@
         if (code.outcome() == Outcome.NOT_RUN
                 && code.httpStatus() > BAD_REQUEST_STATUS
                 && NOT_RUN_STATUSES.contains(code.httpStatus())) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryAfterSeconds()));
+            // Another host can take the request at once when this one stops.
+            double seconds = code == ResultCode.STOPPING ? 0 : retryAfterSeconds();
+            headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
         }
         ByteBuf content = Unpooled.copiedBuffer(LocalResponses.body(code, ""), StandardCharsets.UTF_8);
         caller.respond(code.httpStatus(), headers, content, false, () -> {});
--- a/host/src/main/java/io/carawaylift/host/CallerServer.java
+++ b/host/src/main/java/io/carawaylift/host/CallerServer.java
@@ -183,6 +183,11 @@
         new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    @Override
+    public void answerAll() {
+        new ArrayList<>(connections).forEach(CallerConnection::answerAll);
+    }
+
     @Override
     public boolean isBusy() {
         return connections.stream().anyMatch(CallerConnection::isBusy);
--- a/host/src/main/java/io/carawaylift/host/Forwarder.java
+++ b/host/src/main/java/io/carawaylift/host/Forwarder.java
@@ -15,6 +15,7 @@
 import io.carawaylift.decisions.route.RouteTable;
 import io.carawaylift.decisions.route.ServiceProfile;
 import io.carawaylift.decisions.route.ServiceRotation;
+import io.carawaylift.host.drain.ProcessingWindow;
 import io.carawaylift.host.quota.HostQuotas;
 import io.carawaylift.model.ResultCode;
 import io.carawaylift.peer.Message;
@@ -52,6 +53,7 @@
     private final EndpointPushBack pushBack;
     private final HostQuotas quotas;
     private final RequestAccess.Source access;
+    private final ProcessingWindow window = new ProcessingWindow();
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServiceRotation> rotations = new HashMap<>();
     private final Map<String, Double> roundTripMillisByRegion = new HashMap<>();
@@ -179,6 +181,11 @@
         return access;
     }
 
+    /** Returns how long requests are still processed. */
+    ProcessingWindow window() {
+        return window;
+    }
+
     HostQuotas quotas() {
         return quotas;
     }
@@ -219,6 +226,7 @@
                 .coldRate(() -> coldRate(service))
                 .mayWarmUp(this::mayWarmUp)
                 .scarce(this::isScarce)
+                .remainingNanos(window::remainingNanos)
                 .build();
         ServicePlan plan = new ServicePlan(service, registry, ownRegion(), targetMillis);
         plan.start(dispatcher, options.regionsByZone().values(), now);
--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -219,7 +219,13 @@
         callers.prepareStop();
         // A task of its own, since a fault in a report must not break off the stop.
         loop.execute(membership::sendReports);
-        continueDrain(new GracefulDrain(callers, DrainTimes.of(options.limits().gracePeriod()), startedNanos), drained);
+        continueDrain(
+                new GracefulDrain(
+                        callers,
+                        forwarder.window(),
+                        DrainTimes.of(options.limits().gracePeriod()),
+                        startedNanos),
+                drained);
     }
 
     private void continueDrain(GracefulDrain drain, CompletableFuture<Void> drained) {
--- a/host/src/main/java/io/carawaylift/host/drain/GracefulDrain.java
+++ b/host/src/main/java/io/carawaylift/host/drain/GracefulDrain.java
@@ -9,22 +9,34 @@
     private final DrainedServer server;
     private final DrainTimes times;
     private final long startedNanos;
-    private boolean accepting = true;
+    private final ProcessingWindow window;
+    private boolean answered;
 
-    /** Begins a drain at {@code startedNanos}, a monotonic time. */
-    public GracefulDrain(DrainedServer server, DrainTimes times, long startedNanos) {
+    /**
+     * Begins a drain.
+     *
+     * @param window is given its end and no longer accepts requests when that phase ends
+     * @param startedNanos beginning of the grace period, a monotonic time
+     */
+    public GracefulDrain(DrainedServer server, ProcessingWindow window, DrainTimes times, long startedNanos) {
         this.server = server;
+        this.window = window;
         this.times = times;
         this.startedNanos = startedNanos;
+        window.endAt(startedNanos + times.answerNanos());
     }
 
     /** Does what is due; returns whether the drain has ended. */
     public boolean step(long nowNanos) {
         long elapsedNanos = nowNanos - startedNanos;
-        if (accepting && elapsedNanos >= times.acceptNanos()) {
-            accepting = false;
+        if (window.isAccepting() && elapsedNanos >= times.acceptNanos()) {
+            window.stopAccepting();
             server.stopAccepting();
         }
-        return elapsedNanos >= times.endNanos() || (!accepting && !server.isBusy());
+        if (!answered && elapsedNanos >= times.answerNanos()) {
+            answered = true;
+            server.answerAll();
+        }
+        return elapsedNanos >= times.endNanos() || (!window.isAccepting() && !server.isBusy());
     }
 }
--- a/host/src/test/java/io/carawaylift/host/StopUnderLoadTest.java
+++ b/host/src/test/java/io/carawaylift/host/StopUnderLoadTest.java
@@ -109,6 +109,53 @@
         }
     }
 
+    /**
+     * Guards against a request that arrives late in the grace period, is passed on and is cut off at its end; it must
+     * be refused as not run, so that its caller can send it to another host.
+     */
+    @Test
+    void aRequestThatIsCompleteLateInTheGracePeriodIsRefusedAndNotRun() throws Exception {
+        endpoint.script((request, connection) -> {
+            Thread.sleep(1500);
+            ScriptedEndpoint.respondOk(request, connection);
+        });
+        try (RawCaller caller = fixture.caller()) {
+            caller.sendRaw(
+                    "POST /unsafe/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\nContent-Length: 4\r\n\r\nab");
+            CompletableFuture<Void> stop = CompletableFuture.runAsync(fixture::stopHost);
+            fixture.awaitLine("\"event\":\"stopping\"");
+            Thread.sleep(4200);
+            caller.sendRaw("cd");
+            RawCaller.Response response = caller.read();
+
+            assertThat(response.status()).isEqualTo(503);
+            assertThat(response.header("Retry-After")).isEqualTo("0.00");
+            assertThat(response.header("Connection")).isEqualTo("close");
+            stop.join();
+        }
+        assertThat(endpoint.requests()).isEmpty();
+    }
+
+    /** Guards against callers that learn nothing when the grace period ends before their requests do. */
+    @Test
+    void requestsThatOutlastTheGracePeriodAreAnsweredTruthfullyBeforeTheEnd() throws Exception {
+        endpoint.script((request, connection) -> Thread.sleep(20_000));
+        try (RawCaller running = fixture.caller();
+                RawCaller unread = fixture.caller()) {
+            running.send("POST", "/unsafe/1", "running", "");
+            unread.sendRaw(
+                    "POST /unsafe/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: unread\r\nContent-Length: 4\r\n\r\nab");
+            HostFixture.await(() -> endpoint.requests().size() == 1);
+            CompletableFuture<Void> stop = CompletableFuture.runAsync(fixture::stopHost);
+
+            // The endpoint may have run the first one.
+            assertThat(running.read().status()).isEqualTo(502);
+            assertThat(unread.read().status()).isEqualTo(503);
+            stop.join();
+        }
+        assertThat(endpoint.requests()).hasSize(1);
+    }
+
     /** Guards against requests that were accepted during a stop and get no answer. */
     @Test
     void everyRequestThatWasPassedOnDuringAStopIsAnswered() throws Exception {
--- a/host/src/test/java/io/carawaylift/host/drain/GracefulDrainTest.java
+++ b/host/src/test/java/io/carawaylift/host/drain/GracefulDrainTest.java
@@ -10,10 +10,13 @@
     private static final long START_NANOS = Long.MAX_VALUE - 1_000_000_000L;
 
     private final RecordingServer server = new RecordingServer();
-    private final GracefulDrain drain = new GracefulDrain(server, DrainTimes.of(Duration.ofSeconds(6)), START_NANOS);
+    private final ProcessingWindow window = new ProcessingWindow();
+    private final GracefulDrain drain =
+            new GracefulDrain(server, window, DrainTimes.of(Duration.ofSeconds(6)), START_NANOS);
 
     private static final class RecordingServer implements DrainedServer {
         private int acceptingStopped;
+        private int answeredAll;
         private boolean busy = true;
 
         @Override
@@ -21,6 +24,11 @@
             acceptingStopped++;
         }
 
+        @Override
+        public void answerAll() {
+            answeredAll++;
+        }
+
         @Override
         public boolean isBusy() {
             return busy;
@@ -42,6 +50,21 @@
         assertThat(server.acceptingStopped).isEqualTo(1);
     }
 
+    /** Guards against requests that are taken when they can no longer be completed, and end without a response. */
+    @Test
+    void requestsAreRefusedAfterThatAndAnsweredBeforeTheEnd() {
+        stepAt(2500);
+        assertThat(window.isAccepting()).isTrue();
+        assertThat(window.remainingNanos(START_NANOS)).isEqualTo(5_040_000_000L);
+        stepAt(2600);
+        assertThat(window.isAccepting()).isFalse();
+        assertThat(stepAt(5000)).isFalse();
+        assertThat(server.answeredAll).isEqualTo(0);
+        assertThat(stepAt(5040)).isFalse();
+        assertThat(stepAt(5100)).isFalse();
+        assertThat(server.answeredAll).isEqualTo(1);
+    }
+
     /** Guards against a stop that ends before the requests in progress, or later than the process may run. */
     @Test
     void aBusyServerEndsWithItsLastRequestOrShortlyBeforeTheGracePeriod() {
