Never write a body behind the head of a response to HEAD

Cause: each way to respond told the connection whether the request was HEAD. Responses of endpoints did; refusals passed false, both those of complete requests and those of invalid ones.

The exchange knows the method now and leaves out the body itself, so the parameter is gone. The method of a request that cannot be read whole comes from the syntax check in front of the decoder.

--- a/host/src/main/java/io/carawaylift/host/CallerConnection.java
+++ b/host/src/main/java/io/carawaylift/host/CallerConnection.java
@@ -11,10 +11,8 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -26,7 +24,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -43,7 +40,6 @@
 
     private static final int REQUEST_TIMEOUT_STATUS = 408;
     private static final int HEADERS_TOO_LARGE_STATUS = 431;
-    private static final Set<Integer> BODYLESS_STATUSES = Set.of(204, 304);
 
     private final CallerServer server;
     private final CallerHandler handler;
@@ -169,10 +165,10 @@
         releaseBody();
         head = null;
         readingEnded = true;
-        CallerExchange exchange = new CallerExchange(this, null, null, headReceivedNanos, true, false);
+        CallerExchange exchange = CallerExchange.ofRefused(this, syntax.isHeadRequest());
         exchanges.addLast(exchange);
         ByteBuf content = Unpooled.copiedBuffer(LocalResponses.body(code, ""), StandardCharsets.UTF_8);
-        exchange.respond(status, LocalResponses.headers(), content, false, () -> {});
+        exchange.respond(status, LocalResponses.headers(), content, () -> {});
     }
 
     /** Called when an exchange has its response. */
@@ -249,38 +245,27 @@
         CallerExchange.Response response = exchange.response();
         CallerExchange next = exchanges.peekFirst();
         boolean close = exchange.isLast() || (server.isStopping() && (next == null || !next.isStarted()));
-        int contentBytes = response.content().readableBytes();
-        HttpHeaders headers = response.headers();
-        int status = response.status();
-        if (!response.isHeadRequest() && !BODYLESS_STATUSES.contains(status)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, contentBytes);
-        }
         if (close) {
-            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             endReading();
         }
+        FullHttpResponse message = response.toMessage(close);
+        int contentBytes = message.content().readableBytes();
         writing++;
         writingBytes += contentBytes;
-        channel.writeAndFlush(new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        response.content(),
-                        headers,
-                        LocalResponses.headers()))
-                .addListener(done -> {
-                    writing--;
-                    writingBytes -= contentBytes;
-                    response.contentReleased().run();
-                    reportHeld();
-                    lastActiveNanos = System.nanoTime();
-                    if (!done.isSuccess()) {
-                        channel.close();
-                    } else if (close) {
-                        linger();
-                    } else {
-                        advance();
-                    }
-                });
+        channel.writeAndFlush(message).addListener(done -> {
+            writing--;
+            writingBytes -= contentBytes;
+            response.contentReleased().run();
+            reportHeld();
+            lastActiveNanos = System.nanoTime();
+            if (!done.isSuccess()) {
+                channel.close();
+            } else if (close) {
+                linger();
+            } else {
+                advance();
+            }
+        });
     }
 
     /** Drops the requests behind a response that closes the connection: they count as not read. */
--- a/host/src/main/java/io/carawaylift/host/CallerExchange.java
+++ b/host/src/main/java/io/carawaylift/host/CallerExchange.java
@@ -1,16 +1,27 @@
 package io.carawaylift.host;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Set;
 
 /**
  * A request on a connection of a caller, from its arrival until its response is written in its turn. Used on the event
  * loop only.
  */
 final class CallerExchange {
+    private static final Set<Integer> BODYLESS_STATUSES = Set.of(204, 304);
+
     private final CallerConnection connection;
     private final HttpRequest head;
+    private final boolean headRequest;
     private final boolean last;
     private final boolean concurrent;
     private final long arrivedNanos;
@@ -23,10 +34,33 @@
     /**
      * A response that waits for its turn.
      *
-     * @param isHeadRequest whether {@code content} is empty because the request method was HEAD
+     * @param isHeadRequest whether the request method was HEAD, so that no body may be written
      * @param contentReleased run once {@code content} is no longer held
      */
     record Response(int status, HttpHeaders headers, ByteBuf content, boolean isHeadRequest, Runnable contentReleased) {
+        /** Returns the message to write; {@code close} tells whether the connection ends with it. */
+        FullHttpResponse toMessage(boolean close) {
+            int contentBytes = content.readableBytes();
+            if (isHeadRequest) {
+                // The length that a GET would have; an endpoint's own header has it already.
+                if (contentBytes > 0) {
+                    headers.set(HttpHeaderNames.CONTENT_LENGTH, contentBytes);
+                    content.clear();
+                }
+            } else if (!BODYLESS_STATUSES.contains(status)) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, contentBytes);
+            }
+            if (close) {
+                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            return new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    content,
+                    headers,
+                    LocalResponses.headers());
+        }
+
         /** Drops the content. */
         void discard() {
             content.release();
@@ -35,10 +69,8 @@
     }
 
     /**
-     * Creates an exchange.
+     * Creates an exchange of a request that was read whole.
      *
-     * @param head null if the request was not read
-     * @param body null if the request was not read whole
      * @param last whether the connection ends with the response
      * @param concurrent whether the request may run beside others of the connection
      */
@@ -51,12 +83,32 @@
             boolean concurrent) {
         this.connection = connection;
         this.head = head;
+        this.headRequest = head.method().equals(HttpMethod.HEAD);
         this.body = body;
         this.arrivedNanos = arrivedNanos;
         this.last = last;
         this.concurrent = concurrent;
-        this.requestBytes = (head == null ? 0 : bytesOf(head))
-                + (body == null ? 0 : body.bytes().readableBytes());
+        this.requestBytes = bytesOf(head) + body.bytes().readableBytes();
+    }
+
+    private CallerExchange(CallerConnection connection, boolean headRequest) {
+        this.connection = connection;
+        this.head = null;
+        this.headRequest = headRequest;
+        this.arrivedNanos = 0;
+        this.last = true;
+        this.concurrent = false;
+        this.requestBytes = 0;
+    }
+
+    /**
+     * Returns an exchange of a request that was not read whole. It is only responded to, and the connection ends with
+     * the response.
+     *
+     * @param headRequest whether the request method is HEAD
+     */
+    static CallerExchange ofRefused(CallerConnection connection, boolean headRequest) {
+        return new CallerExchange(connection, headRequest);
     }
 
     private static long bytesOf(HttpRequest head) {
@@ -81,15 +133,15 @@
     /**
      * Responds to the request. The response is written when those to all earlier requests are.
      *
-     * @param headers headers of the response; the connection sets Content-Length, unless {@code isHeadRequest} is true
-     * @param isHeadRequest whether {@code content} is empty because the request method was HEAD; a Content-Length in
-     *     {@code headers} then stays as it is, since it is the length that a GET would have
+     * @param headers headers of the response; Content-Length is set to the length of the content, except that a value
+     *     stays as it is if the request method was HEAD and the content is empty
+     * @param content not written if the request method was HEAD
      * @param contentReleased run once {@code content} is no longer held
      */
-    void respond(int status, HttpHeaders headers, ByteBuf content, boolean isHeadRequest, Runnable contentReleased) {
+    void respond(int status, HttpHeaders headers, ByteBuf content, Runnable contentReleased) {
         started = true;
         request = null;
-        response = new Response(status, headers, content, isHeadRequest, contentReleased);
+        response = new Response(status, headers, content, headRequest, contentReleased);
         connection.responded(this);
     }
 
--- a/host/src/main/java/io/carawaylift/host/CallerRequest.java
+++ b/host/src/main/java/io/carawaylift/host/CallerRequest.java
@@ -494,11 +494,10 @@
         }
         end(ResultCode.ANSWERED, response.status(), endpoint.entry().id());
         HttpHeaders headers = ForwardedHeaders.copyOf(response.headers());
-        boolean isHeadRequest = head.method().equals(HttpMethod.HEAD);
-        if (isHeadRequest && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        if (head.method().equals(HttpMethod.HEAD) && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, response.headers().get(HttpHeaderNames.CONTENT_LENGTH));
         }
-        caller.respond(response.status(), headers, response.body(), isHeadRequest, response.bodyReleased());
+        caller.respond(response.status(), headers, response.body(), response.bodyReleased());
     }
 
     private void refuse(ResultCode code, String reason) {
@@ -526,7 +525,7 @@
             headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
         }
         ByteBuf content = Unpooled.copiedBuffer(LocalResponses.body(code, ""), StandardCharsets.UTF_8);
-        caller.respond(code.httpStatus(), headers, content, false, () -> {});
+        caller.respond(code.httpStatus(), headers, content, () -> {});
     }
 
     /** Returns the seconds after which some of the requests at the endpoints are expected to have completed. */
--- a/host/src/main/java/io/carawaylift/host/http/MessageSyntax.java
+++ b/host/src/main/java/io/carawaylift/host/http/MessageSyntax.java
@@ -23,6 +23,7 @@
     private static final int NO_CONTENT_STATUS = 204;
     private static final int NOT_MODIFIED_STATUS = 304;
     private static final int DELETE = 0x7f;
+    private static final byte[] HEAD_METHOD = "HEAD".getBytes(StandardCharsets.US_ASCII);
 
     private enum Part {
         START_LINE,
@@ -39,6 +40,7 @@
     private final BooleanSupplier headRequest;
     private byte[] line = new byte[INITIAL_LINE_BYTES];
     private int lineLength;
+    private boolean startsWithHead;
     private Part part = Part.START_LINE;
     private boolean carriageReturn;
     private int status;
@@ -65,6 +67,11 @@
         return invalid;
     }
 
+    /** Returns whether the last message, which may be invalid or not complete, is a request with the method HEAD. */
+    boolean isHeadRequest() {
+        return requests && startsWithHead;
+    }
+
     /** Returns whether the bytes so far end with a complete message. */
     boolean isBetweenMessages() {
         return part == Part.START_LINE && lineLength == 0 && !carriageReturn;
@@ -102,6 +109,11 @@
     }
 
     private void add(int next) throws InvalidMessageException {
+        if (part == Part.START_LINE && lineLength <= HEAD_METHOD.length) {
+            startsWithHead = lineLength == HEAD_METHOD.length
+                    && (next == ' ' || next == '\t')
+                    && Arrays.equals(line, 0, lineLength, HEAD_METHOD, 0, lineLength);
+        }
         if (carriageReturn != (next == '\n')) {
             throw new InvalidMessageException(
                     carriageReturn ? "a bare CR in " + describe() : "a bare LF in " + describe(), "CR LF");
--- a/host/src/main/java/io/carawaylift/host/http/SyntaxHandler.java
+++ b/host/src/main/java/io/carawaylift/host/http/SyntaxHandler.java
@@ -76,6 +76,14 @@
         return syntax.isBetweenMessages();
     }
 
+    /**
+     * Returns whether the last message that was passed on, even in part, is a request with the method HEAD; its
+     * response must have no body, also if the request is invalid.
+     */
+    public boolean isHeadRequest() {
+        return syntax.isHeadRequest();
+    }
+
     /** Returns the bytes that are held. */
     public int heldBytes() {
         return held.readableBytes();
--- a/standin/src/test/java/io/carawaylift/standin/RawCaller.java
+++ b/standin/src/test/java/io/carawaylift/standin/RawCaller.java
@@ -68,6 +68,15 @@
      * @throws java.net.SocketTimeoutException if nothing arrives for 10 s
      */
     public Response read() throws IOException {
+        return read(true);
+    }
+
+    /** Reads the response to a HEAD request, which ends with its head; its status is 0 if the connection was closed. */
+    public Response readHead() throws IOException {
+        return read(false);
+    }
+
+    private Response read(boolean withBody) throws IOException {
         String line = readLine();
         if (line.isEmpty()) {
             return new Response(0, Map.of(), "", false);
@@ -79,7 +88,7 @@
                     header.substring(0, colon).toLowerCase(Locale.ROOT),
                     header.substring(colon + 1).strip());
         }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        int length = withBody ? Integer.parseInt(headers.getOrDefault("content-length", "0")) : 0;
         byte[] body = in.readNBytes(length);
         return new Response(
                 Integer.parseInt(line.split(" ", -1)[1]),
