Let endpoints of the soak respond without end, and restore its store

Operators of a similar system reported an endpoint that sent bytes that were no response, in a head or a body, without end: the machine that had called it kept them all, ran out of memory and took the requests of other callers with it.

What was not shown is that host processes with a small heap stay up under load.

A second new fault restores the store from a copy that is some seconds old; the writers write again 0.5 s later.

--- a/soak/src/test/java/io/carawaylift/soak/FaultPlan.java
+++ b/soak/src/test/java/io/carawaylift/soak/FaultPlan.java
@@ -19,12 +19,13 @@
     /** Probability that a step repeats the kind of fault that was drawn last, so that faults come in series. */
     private static final double SERIES_PROBABILITY = 0.25;
 
-    /** Silences of the store in a run with faults. */
     private static final int MAX_SILENCES = 2;
+    private static final int MAX_ENDLESS_RESPONSES = 2;
+    private static final int MAX_RESTORES = 1;
 
     /**
-     * Kinds of faults; the first group is planned work. The order of those before {@link #STORE_SILENCE}, which is drawn
-     * separately, determines the plan of each seed.
+     * Kinds of faults; the first group is planned work. The order of those before {@link #STORE_SILENCE} determines the
+     * plan of each seed; the others are drawn separately.
      */
     enum Fault {
         HOST_TERMINATE(true),
@@ -51,7 +52,9 @@
         ENDPOINT_LINK_DROP_RESPONSES(false),
         ENDPOINT_LINK_STALL(false),
         ENDPOINT_LINK_DELAY(false),
-        STORE_SILENCE(false);
+        STORE_SILENCE(false),
+        ENDPOINT_ENDLESS_RESPONSES(false),
+        STORE_RESTORE(false);
 
         private final boolean planned;
 
@@ -82,7 +85,7 @@
         boolean plannedOnly = Math.floorMod(seed, PLANNED_ONLY_SEED_INTERVAL) == 0;
         List<Fault> kinds = new ArrayList<>();
         for (Fault fault : Fault.values()) {
-            if (fault != Fault.STORE_SILENCE && (fault.planned || !plannedOnly)) {
+            if (fault.compareTo(Fault.STORE_SILENCE) < 0 && (fault.planned || !plannedOnly)) {
                 kinds.add(fault);
             }
         }
@@ -95,14 +98,21 @@
             }
             steps.add(step(fault, random, runMillis));
         }
-        SplittableRandom silences = random.split();
-        for (int i = plannedOnly ? 0 : silences.nextInt(MAX_SILENCES + 1); i > 0; i--) {
-            steps.add(step(Fault.STORE_SILENCE, silences, runMillis));
+        if (!plannedOnly) {
+            addUpTo(MAX_SILENCES, Fault.STORE_SILENCE, random.split(), runMillis, steps);
+            addUpTo(MAX_ENDLESS_RESPONSES, Fault.ENDPOINT_ENDLESS_RESPONSES, random.split(), runMillis, steps);
+            addUpTo(MAX_RESTORES, Fault.STORE_RESTORE, random.split(), runMillis, steps);
         }
         steps.sort(Comparator.comparingLong(Step::atMillis));
         return new FaultPlan(plannedOnly, steps);
     }
 
+    private static void addUpTo(int maxSteps, Fault fault, SplittableRandom random, long runMillis, List<Step> steps) {
+        for (int i = random.nextInt(maxSteps + 1); i > 0; i--) {
+            steps.add(step(fault, random, runMillis));
+        }
+    }
+
     private static Step step(Fault fault, SplittableRandom random, long runMillis) {
         return new Step(
                 random.nextLong(MIN_START_MILLIS, Math.max(MIN_START_MILLIS + 1, runMillis - MAX_DURATION_MILLIS)),
--- a/soak/src/test/java/io/carawaylift/soak/SoakRun.java
+++ b/soak/src/test/java/io/carawaylift/soak/SoakRun.java
@@ -11,7 +11,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -25,6 +27,7 @@
     private static final long READY_TIMEOUT_SECONDS = 30;
     private static final int EVACUATION_MILLIS = 5000;
     private static final int REUSE_DELAY_MILLIS = 2000;
+    private static final int REWRITE_DELAY_MILLIS = 500;
     private static final int LINK_DELAY_MILLIS = 80;
     private static final long RECOVERY_MILLIS = 6000;
     private static final int FINAL_REQUESTS = 40;
@@ -52,6 +55,8 @@
     private final List<SoakHost> hosts = new ArrayList<>();
     private final List<SoakEndpoint> endpoints = new ArrayList<>();
     private final List<SoakEndpoint> allEndpoints = new ArrayList<>();
+    private final Set<String> departedEndpoints = new HashSet<>();
+    private final Set<String> evacuatedZones = new HashSet<>();
     private final AtomicInteger endpointNumber = new AtomicInteger();
     private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(4);
     private int version;
@@ -171,6 +176,10 @@
                     store.silence();
                     schedule(durationMillis, store::endSilence);
                 }
+                case STORE_RESTORE -> {
+                    store.keepCopy();
+                    schedule(durationMillis, this::restore);
+                }
                 case STORE_DISCARD_HISTORY -> store.discardHistory();
                 case STORE_LINK_RESET, STORE_LINK_DROP, STORE_LINK_STALL, STORE_LINK_DELAY -> {
                     ledger.recordDisturbance(index, durationMillis);
@@ -186,6 +195,8 @@
                     setTemporaryMode(selectEndpoint(step), SoakEndpoint.Mode.TRUNCATE_RESPONSES, durationMillis);
                 case ENDPOINT_DUPLICATE_RESPONSES ->
                     setTemporaryMode(selectEndpoint(step), SoakEndpoint.Mode.DUPLICATE_RESPONSES, durationMillis);
+                case ENDPOINT_ENDLESS_RESPONSES ->
+                    setTemporaryMode(selectEndpoint(step), SoakEndpoint.Mode.ENDLESS_RESPONSES, durationMillis);
                 case ENDPOINT_LINK_RESET,
                         ENDPOINT_LINK_DROP,
                         ENDPOINT_LINK_DROP_RESPONSES,
@@ -270,20 +281,59 @@
     }
 
     private void evacuate(String zone) {
-        store.put("evacuations", zone, "{}");
         List<SoakEndpoint> inZone = new ArrayList<>();
         synchronized (this) {
+            evacuatedZones.add(zone);
+            store.put("evacuations", zone, "{}");
             endpoints.stream().filter(each -> each.zone().equals(zone)).forEach(inZone::add);
         }
         inZone.forEach(each -> ledger.recordDraining(each.id()));
         schedule(EVACUATION_MILLIS, () -> {
             inZone.forEach(each -> ledger.recordReturned(each.id()));
-            if (store.objectCount("evacuations") > 0) {
-                store.delete("evacuations", zone);
+            synchronized (this) {
+                evacuatedZones.remove(zone);
+                deleteIfListed("evacuations", zone);
             }
         });
     }
 
+    /** Takes the store back to its copy; a moment later its writers write again what they wrote last. */
+    private void restore() {
+        store.restore();
+        schedule(REWRITE_DELAY_MILLIS, () -> {
+            configure();
+            writeAgain();
+        });
+    }
+
+    private synchronized void writeAgain() {
+        for (String zone : ZONES) {
+            if (evacuatedZones.contains(zone)) {
+                store.put("evacuations", zone, "{}");
+            } else {
+                deleteIfListed("evacuations", zone);
+            }
+        }
+        for (SoakEndpoint endpoint : allEndpoints) {
+            if (departedEndpoints.contains(endpoint.id())) {
+                deleteIfListed("servers", endpoint.id());
+            } else {
+                endpoint.publishAgain(store);
+            }
+        }
+    }
+
+    private synchronized void depart(SoakEndpoint endpoint) {
+        departedEndpoints.add(endpoint.id());
+        deleteIfListed("servers", endpoint.id());
+    }
+
+    private synchronized void deleteIfListed(String kind, String name) {
+        if (store.contains(kind, name)) {
+            store.delete(kind, name);
+        }
+    }
+
     private void setTemporaryMode(SoakEndpoint endpoint, SoakEndpoint.Mode mode, long durationMillis) {
         endpoint.mode(mode);
         schedule(durationMillis, () -> endpoint.mode(SoakEndpoint.Mode.HEALTHY));
@@ -316,7 +366,7 @@
         addEndpoint(endpoint.service(), endpoint.zone(), 0);
         endpoint.publish(store, "draining");
         ledger.recordDraining(endpoint.id());
-        schedule(EVACUATION_MILLIS, () -> store.delete("servers", endpoint.id()));
+        schedule(EVACUATION_MILLIS, () -> depart(endpoint));
     }
 
     /** Stops an endpoint abruptly and replaces it; with {@code reuse} an endpoint of the other service gets its address. */
@@ -330,7 +380,7 @@
         endpoint.close();
         addEndpoint(endpoint.service(), endpoint.zone(), 0);
         schedule(REUSE_DELAY_MILLIS, () -> {
-            store.delete("servers", endpoint.id());
+            depart(endpoint);
             if (reuse) {
                 String other = SERVICES.get(1 - SERVICES.indexOf(endpoint.service()));
                 addEndpoint(other, endpoint.zone(), port);
--- a/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
+++ b/standin/src/test/java/io/carawaylift/standin/SimulatedStore.java
@@ -177,6 +177,11 @@
         return era;
     }
 
+    /** Returns whether an object is listed. */
+    public synchronized boolean contains(String kind, String name) {
+        return objectsByKind.containsKey(kind) && objectsByKind.get(kind).containsKey(name);
+    }
+
     /** Returns the number of calls received so far. */
     public synchronized int callCount() {
         return callCount;
