--- a/host/src/test/java/io/carawaylift/host/HeadRequestTest.java
+++ b/host/src/test/java/io/carawaylift/host/HeadRequestTest.java
@@ -25,13 +25,7 @@
         endpoint = fixture.addEndpoint("e-1");
         fixture.awaitLine("endpoint.listed", "e-1");
         fixture.awaitLine("configuration.in_force");
-        HostFixture.await(() -> {
-            try {
-                return fixture.readiness() == 200;
-            } catch (IOException e) {
-                throw new AssertionError(e);
-            }
-        });
+        fixture.awaitReady();
     }
 
     @AfterEach
--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -230,6 +230,17 @@
         }
     }
 
+    /** Waits until the host accepts requests. */
+    void awaitReady() {
+        await(() -> {
+            try {
+                return readiness() == 200;
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
     void stopHost() {
         stopped = true;
         host.stop();
