Tell the revision of a program and its use of keys in the log

Cause: after a report that hosts run requests with unknown keys, nothing in the log told which sources a program was built from, nor whether the configuration in force demands keys. The line "configuration.in_force" has the use of keys and the number of customers.

--- a/host/src/main/java/io/carawaylift/host/HostService.java
+++ b/host/src/main/java/io/carawaylift/host/HostService.java
@@ -13,6 +13,7 @@
 import io.carawaylift.peer.Message;
 import io.carawaylift.platform.store.ObjectStoreClient;
 import io.carawaylift.platform.store.StoreKinds;
+import io.carawaylift.runtime.BuildRevision;
 import io.carawaylift.runtime.Service;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -167,7 +168,10 @@
         });
         log.event(
                 "started",
-                line -> line.put("zone", options.host().failureDomain()).put("callers", hostAndPort(callerAddress)));
+                line -> line.put("zone", options.host().failureDomain())
+                        .put("callers", hostAndPort(callerAddress))
+                        .put("revision", BuildRevision.of(HostProgram.class))
+                        .put("java", Runtime.version().toString()));
     }
 
     /** Reads the settings again if they changed. Thread-safe. */
--- a/host/src/main/java/io/carawaylift/host/StoreView.java
+++ b/host/src/main/java/io/carawaylift/host/StoreView.java
@@ -19,6 +19,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -162,7 +163,9 @@
                     "configuration.in_force",
                     line -> line.put("version", decodedTable.version())
                             .put("revision", item.revision())
-                            .put("routes", decodedTable.size()));
+                            .put("routes", decodedTable.size())
+                            .put("keys", customers.keyUse().name().toLowerCase(Locale.ROOT))
+                            .put("customers", customers.all().size()));
             CustomerEvents.log(customers, log);
             onChange.run();
         }
