Test that keys are demanded once a configuration has customers

Cause: no test had a configuration with customers after one without them in one host, the order in which a host could go on without keys. It was one of the suspects for requests with unknown keys that ran; the program was right. Done: the test, and in it a check of the line configuration.in_force. Result: passes; the code is not changed.

--- a/host/src/test/java/io/carawaylift/host/CustomerRequestsTest.java
+++ b/host/src/test/java/io/carawaylift/host/CustomerRequestsTest.java
@@ -115,6 +115,20 @@
         assertThat(call("/open/1").status()).isEqualTo(200);
     }
 
+    /** Guards against a host that keeps serving without keys because its first configuration had no customers. */
+    @Test
+    void keysAreDemandedOnceAConfigurationHasCustomers() throws IOException {
+        configure(1, "");
+        assertThat(call("/keyed/1", "X-Credential: unknown").status()).isEqualTo(200);
+
+        configure(2, CUSTOMERS);
+        assertThat(call("/keyed/1", "X-Credential: unknown").status()).isEqualTo(401);
+        assertThat(call("/keyed/1").status()).isEqualTo(401);
+        assertThat(call("/keyed/1", "X-Credential: secret-north").status()).isEqualTo(200);
+        assertThat(fixture.hasLine("configuration.in_force", "\"keys\":\"required\"", "\"customers\":3"))
+                .isTrue();
+    }
+
     /** Guards against routes that open to withdrawn and unknown keys with the removal of the last customer. */
     @Test
     void noKeyRunsAfterTheLastCustomerOrTheWholeTableWasRemoved() throws IOException {
