Release the port of a peer network when it is closed

Cause: PeerNetwork.close shut its event loop down without closing the bound channel first, and the loop may end before the port is released: 22 ports of closed hosts were still bound in that JVM minutes later, with no thread serving them. A process that ends releases them anyway, so callers saw nothing; a host that is started again in the same process could not bind. Fix: the bound channels are closed first.

--- a/peer/src/main/java/io/carawaylift/peer/PeerNetwork.java
+++ b/peer/src/main/java/io/carawaylift/peer/PeerNetwork.java
@@ -21,7 +21,9 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -45,6 +47,7 @@
     private final Builder settings;
     private final ByteCounts counts = new ByteCounts();
     private final ByteCountingHandler counter = new ByteCountingHandler(counts);
+    private final Queue<Channel> listeners = new ConcurrentLinkedQueue<>();
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
     private final RandomGenerator random;
@@ -85,6 +88,7 @@
             throw new CarawayliftException(
                     ResultCode.NETWORK_FAILED, "cannot bind " + address + ":" + port, bound.cause());
         }
+        listeners.add(bound.channel());
         return ((InetSocketAddress) bound.channel().localAddress()).getPort();
     }
 
@@ -109,9 +113,11 @@
         return counts;
     }
 
-    /** Closes all connections and waits up to two seconds for the network thread to stop. */
+    /** Closes all connections and waits up to two seconds each for the bound ports and for the network thread to end. */
     @Override
     public void close() {
+        // A group that is shut down right away may end without releasing the ports.
+        listeners.forEach(listener -> listener.close().awaitUninterruptibly(SHUTDOWN_TIMEOUT.toMillis()));
         group.shutdownGracefully(0, SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         if (!group.terminationFuture().isDone()) {
             group.terminationFuture().awaitUninterruptibly(SHUTDOWN_TIMEOUT.toMillis());
--- a/peer/src/test/java/io/carawaylift/peer/PeerNetworkTest.java
+++ b/peer/src/test/java/io/carawaylift/peer/PeerNetworkTest.java
@@ -37,6 +37,21 @@
         }
     };
 
+    /** Guards against a port that stays bound after the network was closed, so that a host cannot be started there again. */
+    @Test
+    void aClosedNetworkReleasesItsPort() throws IOException {
+        for (int i = 0; i < 50; i++) {
+            PeerNetwork network = PeerNetwork.builder().build();
+            int port = network.listen("127.0.0.1", 0, HELLO, listener);
+            network.close();
+
+            // Throws if the port is still bound.
+            PeerNetwork next = PeerNetwork.builder().build();
+            assertThat(next.listen("127.0.0.1", port, HELLO, listener)).isEqualTo(port);
+            next.close();
+        }
+    }
+
     /** Guards against waiting forever on a connection that stays open although the peer sends nothing. */
     @Test
     void anUnresponsiveConnectionIsReplaced() throws Exception {
