Wait for the endpoints in HostLifecycleTest

Cause: a host may be ready before it has read an endpoint that was stored after its first list. The test let the store refuse calls as soon as the host was ready, so the endpoint was never read. Change: awaitReady of this class also waits until the host has listed each endpoint that was stored. No check is changed.

--- a/host/src/test/java/io/carawaylift/host/HostFixture.java
+++ b/host/src/test/java/io/carawaylift/host/HostFixture.java
@@ -13,7 +13,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 
@@ -27,6 +29,7 @@
     private final int peerPort;
     private final String limits;
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
+    private final Set<String> storedEndpoints = new HashSet<>();
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
     private final Path settingsPath = Files.createTempFile("host", ".toml");
     private final HostService host;
@@ -161,6 +164,7 @@
     }
 
     void listEndpoint(String id, ScriptedEndpoint endpoint, String state) {
+        storedEndpoints.add(id);
         store.put("servers", id, """
                 {"service":"service","address":"%s","zone":"zone-a","version":"v1","maxConcurrency":4,"state":"%s",
                 "coldRemainingMs":0,"sequence":1,"born":1}""".formatted(endpoint.address(), state));
@@ -230,6 +234,11 @@
         }
     }
 
+    /** Waits until the host knows every endpoint that was stored; a host may be ready before. */
+    void awaitEndpoints() {
+        storedEndpoints.forEach(id -> awaitLine("endpoint.listed", "\"endpoint\":\"" + id + "\""));
+    }
+
     /** Waits until the host accepts requests. */
     void awaitReady() {
         await(() -> {
--- a/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
+++ b/host/src/test/java/io/carawaylift/host/HostLifecycleTest.java
@@ -33,6 +33,7 @@
                 throw new AssertionError(e);
             }
         });
+        fixture.awaitEndpoints();
     }
 
     private int status(String method, String target) throws IOException {
